--- /dev/null
+++ b/cmake/pch_asio.h
@@ -0,0 +1,3 @@
+#pragma once
+#include <boost/asio.hpp>
+#include "pch_std.h"
--- /dev/null
+++ b/cmake/pch_std.h
@@ -0,0 +1,15 @@
+#pragma once
+#include <fmt/format.h>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
--- /dev/null
+++ b/packages/core/src/ini.cpp
@@ -0,0 +1,233 @@
+#include "core/ini.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <charconv>
+#include <sstream>
+
+namespace jackdawrack {
+namespace {
+
+const IniSection& EmptySection() {
+  static const IniSection kEmpty;
+  return kEmpty;
+}
+
+IniSection MakeSection(const std::string& heading,
+                       const boost::property_tree::ptree& tree) {
+  IniSection section;
+  const std::size_t space = heading.find(' ');
+  section.m_type = heading.substr(0, space);
+  if (space != std::string::npos) {
+    section.m_name = heading.substr(space + 1);
+  }
+  for (const auto& [key, value] : tree) {
+    section.m_entries.push_back(IniEntry{key, value.data()});
+  }
+  return section;
+}
+
+}  // namespace
+
+std::string IniProblem::ToText() const {
+  std::string text = m_file;
+  if (!m_section.empty()) {
+    text += fmt::format(" [{}]", m_section);
+  }
+  if (!m_key.empty()) {
+    text += " " + m_key;
+  }
+  return text + ": " + m_message;
+}
+
+std::string IniSection::Heading() const {
+  return m_name.empty() ? m_type : m_type + " " + m_name;
+}
+
+IniSectionReader::IniSectionReader(std::string file,
+                                   const IniSection& section,
+                                   std::vector<IniProblem>& problems)
+    : m_file(std::move(file)), m_section(section), m_problems(problems) {}
+
+const std::string* IniSectionReader::Find(std::string_view key) {
+  m_known.emplace_back(key);
+  for (const IniEntry& entry : m_section.m_entries) {
+    if (entry.m_key == key && !entry.m_value.empty()) {
+      return &entry.m_value;
+    }
+  }
+  return nullptr;
+}
+
+std::string IniSectionReader::Text(std::string_view key,
+                                   std::optional<std::string> fallback) {
+  if (const std::string* value = Find(key)) {
+    return *value;
+  }
+  if (!fallback) {
+    Refuse(key, "missing; a text is required");
+    return {};
+  }
+  return *fallback;
+}
+
+std::uint64_t IniSectionReader::Number(std::string_view key,
+                                       NumberBounds bounds,
+                                       std::optional<std::uint64_t> fallback) {
+  const std::string* value = Find(key);
+  if (value == nullptr && fallback) {
+    return *fallback;
+  }
+
+  // Check that the whole text is one number within the bounds
+  std::uint64_t number = 0;
+  if (value != nullptr) {
+    const char* end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, number);
+    if (parsed.ec == std::errc() && parsed.ptr == end &&
+        number >= bounds.m_least && number <= bounds.m_greatest) {
+      return number;
+    }
+  }
+  Refuse(key, fmt::format("{}; accepted is a whole number from {} to {}",
+                          value ? "bad value '" + *value + "'" : "missing",
+                          bounds.m_least, bounds.m_greatest));
+  return bounds.m_least;
+}
+
+double IniSectionReader::Ratio(std::string_view key,
+                               std::optional<double> fallback) {
+  const std::string* value = Find(key);
+  if (value == nullptr && fallback) {
+    return *fallback;
+  }
+  double number = 0;
+  if (value != nullptr) {
+    const char* end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, number);
+    if (parsed.ec == std::errc() && parsed.ptr == end && number >= 0 &&
+        number <= 1) {
+      return number;
+    }
+  }
+  Refuse(key, fmt::format("{}; accepted is a fraction from 0 to 1",
+                          value ? "bad value '" + *value + "'" : "missing"));
+  return 0;
+}
+
+bool IniSectionReader::Flag(std::string_view key,
+                            std::optional<bool> fallback) {
+  const std::string* value = Find(key);
+  if (value == nullptr && fallback) {
+    return *fallback;
+  }
+  if (value != nullptr && (*value == "yes" || *value == "no")) {
+    return *value == "yes";
+  }
+  Refuse(key, fmt::format("{}; accepted is yes or no",
+                          value ? "bad value '" + *value + "'" : "missing"));
+  return false;
+}
+
+std::vector<std::string> IniSectionReader::Words(std::string_view key) {
+  std::vector<std::string> words;
+  if (const std::string* value = Find(key)) {
+    std::istringstream stream(*value);
+    for (std::string word; stream >> word;) {
+      words.push_back(word);
+    }
+  }
+  return words;
+}
+
+void IniSectionReader::Refuse(std::string_view key, std::string message) {
+  m_problems.push_back(IniProblem{m_file, m_section.Heading(), std::string(key),
+                                  std::move(message)});
+}
+
+void IniSectionReader::RefuseUnknownKeys() {
+  for (const IniEntry& entry : m_section.m_entries) {
+    if (std::find(m_known.begin(), m_known.end(), entry.m_key) ==
+        m_known.end()) {
+      Refuse(entry.m_key, fmt::format("unknown key; accepted are {}",
+                                      fmt::join(m_known, ", ")));
+    }
+  }
+}
+
+IniDocument IniDocument::Parse(std::string file,
+                               const std::string& text,
+                               std::vector<IniProblem>& problems) {
+  IniDocument document;
+  document.m_file = std::move(file);
+  boost::property_tree::ptree tree;
+  std::istringstream stream(text);
+  try {
+    boost::property_tree::read_ini(stream, tree);
+  } catch (const boost::property_tree::ini_parser_error& error) {
+    problems.push_back(
+        IniProblem{document.m_file, "", "",
+                   fmt::format("line {}: {}", error.line(), error.message())});
+    return document;
+  }
+  for (const auto& [heading, child] : tree) {
+    // Refuse a key that stands before the first section
+    if (child.empty() && !child.data().empty()) {
+      problems.push_back(IniProblem{document.m_file, "", heading,
+                                    "key outside of any section"});
+      continue;
+    }
+    document.m_sections.push_back(MakeSection(heading, child));
+  }
+  return document;
+}
+
+const IniSection& IniDocument::Require(
+    std::string_view type,
+    std::vector<IniProblem>& problems) const {
+  const std::vector<const IniSection*> found = All(type);
+  if (found.empty()) {
+    problems.push_back(
+        IniProblem{m_file, std::string(type), "", "missing section"});
+    return EmptySection();
+  }
+  return *found.front();
+}
+
+std::vector<const IniSection*> IniDocument::All(std::string_view type) const {
+  std::vector<const IniSection*> found;
+  for (const IniSection& section : m_sections) {
+    if (section.m_type == type) {
+      found.push_back(&section);
+    }
+  }
+  return found;
+}
+
+void IniDocument::RefuseUnknownSections(
+    std::initializer_list<std::string_view> accepted,
+    std::vector<IniProblem>& problems) const {
+  for (const IniSection& section : m_sections) {
+    if (std::find(accepted.begin(), accepted.end(), section.m_type) ==
+        accepted.end()) {
+      problems.push_back(IniProblem{
+          m_file, section.Heading(), "",
+          fmt::format("unknown section; accepted are {}",
+                      fmt::join(accepted.begin(), accepted.end(), ", "))});
+    }
+  }
+}
+
+std::string JoinProblems(const std::vector<IniProblem>& problems) {
+  std::string text;
+  for (const IniProblem& problem : problems) {
+    text += problem.ToText() + "\n";
+  }
+  return text;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/model/include/model/endpoint.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace jackdawrack {
+
+/// An IP address and a port.
+struct Endpoint {
+  std::string m_address;
+  std::uint16_t m_port = 0;
+
+  /// Parses "127.0.0.1:7000"; names are not looked up.
+  static std::optional<Endpoint> Parse(const std::string& text);
+
+  [[nodiscard]] std::string ToText() const;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_address, m_port);
+  }
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+}  // namespace jackdawrack
