--- a/packages/core/include/core/ini.h
+++ b/packages/core/include/core/ini.h
@@ -105,6 +105,10 @@
   const IniSection& Require(std::string_view type,
                             std::vector<IniProblem>& problems) const;
 
+  /// The first section of this type, or an empty one; none is required, and an
+  /// empty section counts as missing to the parser.
+  [[nodiscard]] const IniSection& FindOrEmpty(std::string_view type) const;
+
   /// All sections of this type.
   [[nodiscard]] std::vector<const IniSection*> All(std::string_view type) const;
 
--- a/packages/core/src/ini.cpp
+++ b/packages/core/src/ini.cpp
@@ -198,6 +198,11 @@
   return *found.front();
 }
 
+const IniSection& IniDocument::FindOrEmpty(std::string_view type) const {
+  const std::vector<const IniSection*> found = All(type);
+  return found.empty() ? EmptySection() : *found.front();
+}
+
 std::vector<const IniSection*> IniDocument::All(std::string_view type) const {
   std::vector<const IniSection*> found;
   for (const IniSection& section : m_sections) {
--- a/packages/model/src/contract.cpp
+++ b/packages/model/src/contract.cpp
@@ -49,7 +49,7 @@
   limits.RefuseUnknownKeys();
 
   // Read what a query may cost and must cover
-  IniSectionReader query(file, document.Require("query", problems), problems);
+  IniSectionReader query(file, document.FindOrEmpty("query"), problems);
   contract.m_minimum_coverage = query.Ratio("minimum_coverage", 1.0);
   contract.m_hedge_share = query.Ratio("hedge_share", 0.03);
   contract.m_retry_share = query.Ratio("retry_share", 0.05);
--- /dev/null
+++ b/packages/net/src/http_client.cpp
@@ -0,0 +1,206 @@
+#include "net/http_client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "core/check.h"
+#include "net/socket_options.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+http::request<http::string_body> ToWire(const HttpRequest& request,
+                                        const std::string& host) {
+  http::request<http::string_body> wire;
+  wire.version(11);
+  wire.method_string(request.m_method);
+  wire.target(request.m_target);
+  wire.set(http::field::host, host);
+  for (const HttpHeader& header : request.m_headers) {
+    wire.set(header.m_name, header.m_value);
+  }
+  wire.body() = request.m_body;
+  wire.prepare_payload();
+  return wire;
+}
+
+HttpReply FromWire(http::response<http::string_body>& wire) {
+  HttpReply reply;
+  reply.m_status = wire.result_int();
+  for (const auto& field : wire) {
+    reply.m_headers.push_back(HttpHeader{std::string(field.name_string()),
+                                         std::string(field.value())});
+  }
+  reply.m_body = std::move(wire.body());
+  return reply;
+}
+
+NetError FromBeast(const beast::error_code& error) {
+  if (error == beast::error::timeout) {
+    return MakeError(NetErrc::kTimeout, "no reply in time");
+  }
+  if (error.category() ==
+          http::make_error_code(http::error::bad_value).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    return MakeError(NetErrc::kMalformed, error.message());
+  }
+  return MakeError(NetErrc::kBroken, error.message());
+}
+
+}  // namespace
+
+class HttpClient::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, HttpClientSettings settings)
+      : m_settings(std::move(settings)), m_stream(asio::make_strand(context)) {}
+
+  void Connect(ConnectHandler handler) {
+    asio::co_spawn(m_stream.get_executor(),
+                   RunConnect(shared_from_this(), std::move(handler)),
+                   asio::detached);
+  }
+
+  void Send(HttpRequest request, Milliseconds timeout, ReplyHandler handler) {
+    asio::co_spawn(m_stream.get_executor(),
+                   RunSend(shared_from_this(), std::move(request), timeout,
+                           std::move(handler)),
+                   asio::detached);
+  }
+
+  void Close() {
+    asio::dispatch(m_stream.get_executor(),
+                   [self = shared_from_this()] { self->CloseNow(); });
+  }
+
+  [[nodiscard]] bool IsOpen() const { return m_open.load(); }
+
+ private:
+  static asio::awaitable<void> RunConnect(std::shared_ptr<Impl> self,
+                                          ConnectHandler handler) {
+    handler(co_await self->EnsureOpen(self->m_settings.m_connect_timeout));
+  }
+
+  static asio::awaitable<void> RunSend(std::shared_ptr<Impl> self,
+                                       HttpRequest request,
+                                       Milliseconds timeout,
+                                       ReplyHandler handler) {
+    handler(co_await self->Exchange(request, timeout));
+  }
+
+  asio::awaitable<NetResult<void>> EnsureOpen(Milliseconds timeout) {
+    if (m_open) {
+      co_return boost::outcome_v2::success();
+    }
+    beast::error_code bad_address;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(m_settings.m_endpoint.m_address, bad_address),
+        m_settings.m_endpoint.m_port);
+    m_stream.expires_after(std::min(timeout, m_settings.m_connect_timeout));
+    const auto [error] = co_await m_stream.async_connect(endpoint, kTuple);
+    if (error) {
+      CloseNow();
+      co_return MakeError(NetErrc::kNotSent, error.message());
+    }
+    ApplySocketOptions(m_stream.socket(), m_settings.m_user_timeout);
+    m_buffer.clear();
+    m_open = true;
+    co_return boost::outcome_v2::success();
+  }
+
+  asio::awaitable<NetResult<HttpReply>> Exchange(const HttpRequest& request,
+                                                 Milliseconds timeout) {
+    JR_CHECK(!m_busy);
+    m_busy = true;
+    NetResult<HttpReply> result = co_await ExchangeOnce(request, timeout);
+    m_busy = false;
+    co_return result;
+  }
+
+  asio::awaitable<NetResult<HttpReply>> ExchangeOnce(const HttpRequest& request,
+                                                     Milliseconds timeout) {
+    const auto opened = co_await EnsureOpen(timeout);
+    if (!opened) {
+      co_return opened.error();
+    }
+
+    // Send the request
+    m_stream.expires_after(timeout);
+    const auto wire = ToWire(request, m_settings.m_endpoint.ToText());
+    const auto [write_error, written] =
+        co_await http::async_write(m_stream, wire, kTuple);
+    if (write_error) {
+      CloseNow();
+      co_return written == 0
+          ? MakeError(NetErrc::kNotSent, write_error.message())
+          : FromBeast(write_error);
+    }
+
+    // Wait for the whole reply
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(m_settings.m_max_reply_bytes);
+    const auto [read_error, read] =
+        co_await http::async_read(m_stream, m_buffer, parser, kTuple);
+    if (read_error) {
+      CloseNow();
+      co_return FromBeast(read_error);
+    }
+    m_stream.expires_never();
+    if (!parser.keep_alive()) {
+      CloseNow();
+    }
+    co_return FromWire(parser.get());
+  }
+
+  void CloseNow() {
+    m_open = false;
+    beast::error_code ignored;
+    m_stream.socket().close(ignored);
+  }
+
+  const HttpClientSettings m_settings;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::atomic<bool> m_open{false};
+  bool m_busy = false;
+};
+
+HttpClient::HttpClient(boost::asio::io_context& context,
+                       HttpClientSettings settings)
+    : m_impl(std::make_shared<Impl>(context, std::move(settings))) {}
+
+HttpClient::~HttpClient() {
+  m_impl->Close();
+}
+
+void HttpClient::Connect(ConnectHandler handler) {
+  m_impl->Connect(std::move(handler));
+}
+
+void HttpClient::Send(HttpRequest request,
+                      Milliseconds timeout,
+                      ReplyHandler handler) {
+  m_impl->Send(std::move(request), timeout, std::move(handler));
+}
+
+void HttpClient::Close() {
+  m_impl->Close();
+}
+
+bool HttpClient::IsOpen() const {
+  return m_impl->IsOpen();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/net/src/http_server.cpp
@@ -0,0 +1,314 @@
+#include "net/http_server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+#include "core/check.h"
+#include "net/socket_options.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Milliseconds kUserTimeout{10'000};
+constexpr int kListenBacklog = 1024;
+
+using Acceptor = asio::ip::tcp::acceptor;
+using Parser = http::request_parser<http::string_body>;
+
+HttpRequest FromWire(http::request<http::string_body>& wire) {
+  HttpRequest request;
+  request.m_method = std::string(wire.method_string());
+  request.m_target = std::string(wire.target());
+  for (const auto& field : wire) {
+    request.m_headers.push_back(HttpHeader{std::string(field.name_string()),
+                                           std::string(field.value())});
+  }
+  request.m_body = std::move(wire.body());
+  return request;
+}
+
+http::response<http::string_body> ToWire(HttpReply reply, bool keep_alive) {
+  http::response<http::string_body> wire;
+  wire.version(11);
+  wire.result(reply.m_status);
+  wire.set(http::field::content_type, reply.m_content_type);
+  for (const HttpHeader& header : reply.m_headers) {
+    wire.set(header.m_name, header.m_value);
+  }
+  wire.body() = std::move(reply.m_body);
+  wire.keep_alive(keep_alive);
+  wire.prepare_payload();
+  return wire;
+}
+
+HttpReply RefusalFor(const beast::error_code& error) {
+  HttpReply reply;
+  if (error == http::error::body_limit) {
+    reply.m_status = 413;
+    reply.m_body =
+        R"({"error":"body_too_large","message":"The body is too large.","executed":"no"})";
+  } else if (error == http::error::header_limit) {
+    reply.m_status = 431;
+    reply.m_body =
+        R"({"error":"headers_too_large","message":"The headers are too large.","executed":"no"})";
+  } else {
+    reply.m_status = 400;
+    reply.m_body =
+        R"({"error":"malformed_http","message":"The request is not valid HTTP.","executed":"no"})";
+  }
+  return reply;
+}
+
+bool IsParseError(const beast::error_code& error) {
+  static const auto& category =
+      http::make_error_code(http::error::bad_value).category();
+  return error.category() == category && error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
+}  // namespace
+
+class HttpServer::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, HttpServerSettings settings, Handler handler)
+      : m_context(context),
+        m_settings(std::move(settings)),
+        m_handler(std::move(handler)),
+        m_acceptor(asio::make_strand(context)) {}
+
+  NetResult<void> Start() {
+    beast::error_code error;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(m_settings.m_endpoint.m_address, error),
+        m_settings.m_endpoint.m_port);
+    if (!error) {
+      m_acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+      m_acceptor.set_option(Acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      m_acceptor.listen(kListenBacklog, error);
+    }
+    if (error) {
+      return MakeError(NetErrc::kNotSent, "cannot listen on " +
+                                              m_settings.m_endpoint.ToText() +
+                                              ": " + error.message());
+    }
+    asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(shared_from_this()),
+                   asio::detached);
+    return boost::outcome_v2::success();
+  }
+
+  void StopAccepting() {
+    m_stopping = true;
+    asio::post(m_acceptor.get_executor(),
+               [self = shared_from_this()] { self->TakeQueuedAndClose(); });
+  }
+
+  void CloseIdle() {
+    const std::lock_guard lock(m_mutex);
+    for (Session* session : m_sessions) {
+      asio::post(session->m_stream.get_executor(),
+                 [weak = session->weak_from_this()] {
+                   const auto alive = weak.lock();
+                   if (alive && !alive->m_running) {
+                     alive->m_stream.cancel();
+                   }
+                 });
+    }
+  }
+
+  [[nodiscard]] std::size_t RunningRequests() const { return m_running; }
+
+  [[nodiscard]] std::size_t OpenConnections() const {
+    const std::lock_guard lock(m_mutex);
+    return m_sessions.size();
+  }
+
+ private:
+  struct Session : std::enable_shared_from_this<Session> {
+    explicit Session(asio::ip::tcp::socket socket)
+        : m_stream(std::move(socket)) {}
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_running = false;
+  };
+
+  static asio::awaitable<void> AcceptLoop(std::shared_ptr<Impl> self) {
+    while (!self->m_stopping) {
+      auto [error, socket] = co_await self->m_acceptor.async_accept(
+          asio::make_strand(self->m_context), kTuple);
+      if (error) {
+        if (error == asio::error::operation_aborted ||
+            error == asio::error::bad_descriptor) {
+          co_return;
+        }
+        // Wait a little when the process is out of descriptors
+        asio::steady_timer timer(self->m_acceptor.get_executor());
+        timer.expires_after(Milliseconds(10));
+        co_await timer.async_wait(kTuple);
+        continue;
+      }
+      self->StartSession(std::move(socket));
+      if (self->m_settings.m_accept_delay.count() > 0) {
+        asio::steady_timer timer(self->m_acceptor.get_executor());
+        timer.expires_after(self->m_settings.m_accept_delay);
+        co_await timer.async_wait(kTuple);
+      }
+    }
+  }
+
+  // Takes every connection that the kernel has accepted for us, so that none
+  // is reset by the close, then closes the listener.
+  void TakeQueuedAndClose() {
+    beast::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+      asio::ip::tcp::socket socket(asio::make_strand(m_context));
+      m_acceptor.accept(socket, error);
+      if (!error) {
+        StartSession(std::move(socket));
+      }
+    }
+    m_acceptor.close(error);
+  }
+
+  void StartSession(asio::ip::tcp::socket socket) {
+    auto session = std::make_shared<Session>(std::move(socket));
+    {
+      const std::lock_guard lock(m_mutex);
+      if (m_sessions.size() >= m_settings.m_max_connections) {
+        return;
+      }
+      m_sessions.insert(session.get());
+    }
+    ApplySocketOptions(session->m_stream.socket(), kUserTimeout);
+    asio::co_spawn(session->m_stream.get_executor(),
+                   RunSession(shared_from_this(), session), asio::detached);
+  }
+
+  static asio::awaitable<void> RunSession(std::shared_ptr<Impl> self,
+                                          std::shared_ptr<Session> session) {
+    while (co_await self->ServeOne(*session)) {
+    }
+    beast::error_code ignored;
+    session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                        ignored);
+    const std::lock_guard lock(self->m_mutex);
+    self->m_sessions.erase(session.get());
+  }
+
+  // Serves one request; false when the connection is to be closed.
+  asio::awaitable<bool> ServeOne(Session& session) {
+    Parser parser;
+    parser.body_limit(m_settings.m_max_body_bytes);
+    parser.header_limit(m_settings.m_max_header_bytes);
+    session.m_stream.expires_after(m_settings.m_idle_timeout);
+    const auto [error, bytes] = co_await http::async_read(
+        session.m_stream, session.m_buffer, parser, kTuple);
+    if (error) {
+      if (IsParseError(error)) {
+        co_await Write(session, RefusalFor(error), false);
+      }
+      co_return false;
+    }
+
+    // Run the handler, however long it takes
+    session.m_running = true;
+    ++m_running;
+    session.m_stream.expires_never();
+    const bool wanted = parser.get().keep_alive();
+    HttpReply reply = co_await Handle(FromWire(parser.get()));
+    const bool keep_alive = wanted && !m_stopping;
+    const bool written = co_await Write(session, std::move(reply), keep_alive);
+    --m_running;
+    session.m_running = false;
+    co_return written&& keep_alive;
+  }
+
+  asio::awaitable<HttpReply> Handle(HttpRequest request) {
+    co_return co_await asio::async_initiate<decltype(asio::use_awaitable),
+                                            void(HttpReply)>(
+        [this](auto completion, HttpRequest taken) {
+          auto shared =
+              std::make_shared<decltype(completion)>(std::move(completion));
+          m_handler(std::move(taken), [shared](HttpReply reply) {
+            auto executor = asio::get_associated_executor(*shared);
+            asio::post(executor, [shared, reply = std::move(reply)]() mutable {
+              (*shared)(std::move(reply));
+            });
+          });
+        },
+        asio::use_awaitable, std::move(request));
+  }
+
+  asio::awaitable<bool> Write(Session& session,
+                              HttpReply reply,
+                              bool keep_alive) {
+    const auto wire = ToWire(std::move(reply), keep_alive);
+    session.m_stream.expires_after(m_settings.m_idle_timeout);
+    const auto [error, bytes] =
+        co_await http::async_write(session.m_stream, wire, kTuple);
+    co_return !error;
+  }
+
+  asio::io_context& m_context;
+  const HttpServerSettings m_settings;
+  const Handler m_handler;
+  Acceptor m_acceptor;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<std::size_t> m_running{0};
+  mutable std::mutex m_mutex;
+  std::set<Session*> m_sessions;
+};
+
+HttpServer::HttpServer(boost::asio::io_context& context,
+                       HttpServerSettings settings,
+                       Handler handler)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(settings),
+                                    std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  m_impl->StopAccepting();
+}
+
+NetResult<void> HttpServer::Start() {
+  return m_impl->Start();
+}
+
+void HttpServer::StopAccepting() {
+  m_impl->StopAccepting();
+}
+
+void HttpServer::CloseIdle() {
+  m_impl->CloseIdle();
+}
+
+std::size_t HttpServer::RunningRequests() const {
+  return m_impl->RunningRequests();
+}
+
+std::size_t HttpServer::OpenConnections() const {
+  return m_impl->OpenConnections();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/include/peer/messages.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "model/ids.h"
+#include "model/key_range.h"
+#include "model/outcome.h"
+#include "peer/call_id.h"
+
+namespace jackdawrack {
+
+/// Version of the frames below; a peer of another version is refused.
+inline constexpr std::uint32_t kPeerProtocolVersion = 1;
+
+/// First frame in both directions.
+struct Hello {
+  std::uint32_t m_protocol = kPeerProtocolVersion;
+  InstanceId m_instance;
+  FailureDomain m_domain;
+  /// Random number of the process, so that a restart is noticed.
+  std::uint64_t m_epoch = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_protocol, m_instance, m_domain, m_epoch);
+  }
+  friend bool operator==(const Hello&, const Hello&) = default;
+};
+
+/// Sent by the dialling side at a fixed interval and echoed by the other.
+struct Heartbeat {
+  std::uint64_t m_number = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number);
+  }
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+/// Asks an owner for the rows of some ranges at one index version.
+struct SubQuery {
+  CallId m_call;
+  Customer m_customer;
+  CollectionName m_collection;
+  std::string m_body;
+  std::uint64_t m_index_version = 0;
+  /// Time that the owner may take, in milliseconds.
+  std::uint32_t m_remaining_ms = 0;
+  /// True for a hedge: use another replica than the one already asked.
+  bool m_is_hedge = false;
+  std::vector<KeyRange> m_ranges;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_call, m_customer, m_collection, m_body, m_index_version,
+            m_remaining_ms, m_is_hedge, m_ranges);
+  }
+  friend bool operator==(const SubQuery&, const SubQuery&) = default;
+};
+
+/// What an owner has to say of one range.
+struct RangeAnswer {
+  KeyRange m_range;
+  MissReason m_reason = MissReason::kNone;
+  std::vector<std::string> m_rows;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_range, m_reason, m_rows);
+  }
+  friend bool operator==(const RangeAnswer&, const RangeAnswer&) = default;
+};
+
+/// Part of an owner's answer; the last part is marked.
+struct SubAnswer {
+  CallId m_call;
+  std::uint64_t m_index_version = 0;
+  /// Newest version that every asked replica serves, if it is another one.
+  std::uint64_t m_other_index_version = 0;
+  bool m_is_last = false;
+  std::vector<RangeAnswer> m_ranges;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_call, m_index_version, m_other_index_version, m_is_last,
+            m_ranges);
+  }
+  friend bool operator==(const SubAnswer&, const SubAnswer&) = default;
+};
+
+/// Tells an owner that the answer of a call is not needed any more.
+struct Cancel {
+  CallId m_call;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_call);
+  }
+  friend bool operator==(const Cancel&, const Cancel&) = default;
+};
+
+/// Asks an owner to run a non-idempotent request at most once.
+struct RunRequest {
+  CallId m_call;
+  Customer m_customer;
+  CollectionName m_collection;
+  std::string m_kind;
+  /// The caller's idempotency key, a UUIDv7.
+  std::string m_idempotency_key;
+  /// The key whose shard runs the request.
+  std::uint64_t m_shard_key = 0;
+  std::string m_body;
+  std::uint32_t m_remaining_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_call, m_customer, m_collection, m_kind, m_idempotency_key,
+            m_shard_key, m_body, m_remaining_ms);
+  }
+  friend bool operator==(const RunRequest&, const RunRequest&) = default;
+};
+
+/// What became of a non-idempotent request.
+struct RunAnswer {
+  CallId m_call;
+  Outcome m_outcome = Outcome::kUnknown;
+  /// Stable word for why it did not run, or is unknown.
+  std::string m_reason;
+  std::string m_result;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_call, m_outcome, m_reason, m_result);
+  }
+  friend bool operator==(const RunAnswer&, const RunAnswer&) = default;
+};
+
+/// A JSON-RPC call of the control plane.
+struct ControlCall {
+  std::uint64_t m_number = 0;
+  std::string m_text;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_text);
+  }
+  friend bool operator==(const ControlCall&, const ControlCall&) = default;
+};
+
+/// The JSON-RPC reply to the control call of the same number.
+struct ControlReply {
+  std::uint64_t m_number = 0;
+  std::string m_text;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_text);
+  }
+  friend bool operator==(const ControlReply&, const ControlReply&) = default;
+};
+
+/// Any frame between instances.
+using PeerFrame = std::variant<Hello,
+                               Heartbeat,
+                               SubQuery,
+                               SubAnswer,
+                               Cancel,
+                               RunRequest,
+                               RunAnswer,
+                               ControlCall,
+                               ControlReply>;
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/include/peer/peer_connection.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "peer/frame_codec.h"
+
+namespace jackdawrack {
+
+/// One open connection between instances: frames with a length before each.
+///
+/// All methods have to run on the socket's executor, which is a strand.
+class PeerConnection final
+    : public std::enable_shared_from_this<PeerConnection> {
+ public:
+  using FrameHandler = std::function<void(PeerFrame)>;
+  using ClosedHandler = std::function<void()>;
+
+  explicit PeerConnection(boost::asio::ip::tcp::socket socket);
+
+  /// Starts to read; `on_closed` is called once, after the last frame.
+  void Start(FrameHandler on_frame, ClosedHandler on_closed);
+
+  /// Queues a frame; false if the queue is full or the connection is closed.
+  bool Send(const PeerFrame& frame);
+
+  /// Closes the socket; `on_closed` follows.
+  void Close();
+
+  [[nodiscard]] bool IsOpen() const { return m_open; }
+
+  /// Bytes sent and received so far, for the control cost.
+  [[nodiscard]] std::uint64_t BytesSent() const { return m_bytes_sent; }
+  [[nodiscard]] std::uint64_t BytesReceived() const { return m_bytes_received; }
+
+ private:
+  void ReadHeader();
+  void ReadBody(std::uint32_t size);
+  void OnBody(std::size_t size);
+  void WriteNext();
+  void OnError();
+
+  boost::asio::ip::tcp::socket m_socket;
+  FrameHandler m_on_frame;
+  ClosedHandler m_on_closed;
+  bool m_open = true;
+
+  // Reading
+  std::array<char, 4> m_header{};
+  std::string m_body;
+  std::uint64_t m_bytes_received = 0;
+
+  // Writing
+  std::deque<std::string> m_queue;
+  std::string m_writing;
+  std::size_t m_queued_bytes = 0;
+  std::uint64_t m_bytes_sent = 0;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/include/peer/peer_server.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "model/endpoint.h"
+#include "net/net_error.h"
+#include "peer/peer_service.h"
+
+namespace jackdawrack {
+
+/// Accepts connections from peers and passes their calls to a service.
+class PeerServer final {
+ public:
+  /// `self` is sent as this side's hello.
+  PeerServer(boost::asio::io_context& context,
+             Endpoint endpoint,
+             Hello self,
+             PeerService service);
+  ~PeerServer();
+
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  /// Binds and starts to accept.
+  NetResult<void> Start();
+
+  /// Closes the listener and every connection.
+  void Stop();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/include/peer/peer_service.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <functional>
+
+#include "peer/messages.h"
+
+namespace jackdawrack {
+
+/// What an instance does for its peers; each call may be answered later, from
+/// any thread.
+struct PeerService {
+  using SubAnswerSink = std::function<void(SubAnswer)>;
+  using RunAnswerSink = std::function<void(RunAnswer)>;
+  using ControlSink = std::function<void(std::string)>;
+
+  /// Answers with one or more parts, the last one marked.
+  std::function<void(SubQuery, SubAnswerSink)> m_on_sub_query;
+  std::function<void(CallId)> m_on_cancel;
+  std::function<void(RunRequest, RunAnswerSink)> m_on_run_request;
+  /// Answers a JSON-RPC text; the first argument is the caller.
+  std::function<void(Hello, std::string, ControlSink)> m_on_control;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/src/peer_client.cpp
@@ -0,0 +1,396 @@
+#include "peer/peer_client.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "core/check.h"
+#include "core/clock.h"
+#include "core/event.h"
+#include "peer/peer_connection.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Milliseconds kHeartbeatInterval{300};
+constexpr std::uint64_t kMissedHeartbeatsAllowed = 4;
+constexpr Milliseconds kConnectTimeout{1000};
+constexpr Milliseconds kReconnectDelay{200};
+constexpr std::size_t kMaxWaitingCalls = 20'000;
+
+SubAnswer FailedAnswer(const SubQuery& query, MissReason reason) {
+  SubAnswer answer;
+  answer.m_call = query.m_call;
+  answer.m_index_version = query.m_index_version;
+  answer.m_is_last = true;
+  for (const KeyRange& range : query.m_ranges) {
+    answer.m_ranges.push_back(RangeAnswer{range, reason, {}});
+  }
+  return answer;
+}
+
+RunAnswer FailedAnswer(const RunRequest& request,
+                       Outcome outcome,
+                       const char* reason) {
+  RunAnswer answer;
+  answer.m_call = request.m_call;
+  answer.m_outcome = outcome;
+  answer.m_reason = reason;
+  return answer;
+}
+
+}  // namespace
+
+class PeerClient::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, Instance target, Hello self)
+      : m_target(std::move(target)),
+        m_self(std::move(self)),
+        m_strand(asio::make_strand(context)),
+        m_timer(m_strand),
+        m_connect_timer(m_strand) {}
+
+  void Send(SubQuery query, PeerService::SubAnswerSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), query = std::move(query),
+                          sink = std::move(sink)]() mutable {
+      self->SendSubQuery(std::move(query), std::move(sink));
+    });
+  }
+
+  void Send(RunRequest request, PeerService::RunAnswerSink sink) {
+    asio::post(m_strand,
+               [self = shared_from_this(), request = std::move(request),
+                sink = std::move(sink)]() mutable {
+                 self->SendRunRequest(std::move(request), std::move(sink));
+               });
+  }
+
+  void Cancel(CallId call) {
+    asio::post(m_strand, [self = shared_from_this(), call] {
+      self->m_queries.erase(call);
+      if (self->m_ready) {
+        self->m_connection->Send(jackdawrack::Cancel{call});
+      }
+    });
+  }
+
+  void Call(std::string text, ControlSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), text = std::move(text),
+                          sink = std::move(sink)]() mutable {
+      self->SendControl(std::move(text), std::move(sink));
+    });
+  }
+
+  void Close() {
+    asio::post(m_strand, [self = shared_from_this()] {
+      self->m_closed = true;
+      self->Drop();
+    });
+  }
+
+  [[nodiscard]] const Instance& Target() const { return m_target; }
+
+ private:
+  struct WaitingQuery {
+    SubQuery m_query;
+    PeerService::SubAnswerSink m_sink;
+  };
+
+  struct WaitingRun {
+    RunRequest m_request;
+    PeerService::RunAnswerSink m_sink;
+    bool m_was_sent = false;
+  };
+
+  void SendSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
+    if (!PrepareCall() || m_queries.size() >= kMaxWaitingCalls) {
+      sink(FailedAnswer(query, MissReason::kUnreachable));
+      return;
+    }
+    const CallId call = query.m_call;
+    const auto [entry, is_new] = m_queries.emplace(
+        call, WaitingQuery{std::move(query), std::move(sink)});
+    JR_CHECK(is_new);
+    if (m_ready) {
+      m_connection->Send(entry->second.m_query);
+    }
+  }
+
+  void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
+    if (!PrepareCall()) {
+      sink(FailedAnswer(request, Outcome::kNotRun, "owner_unreachable"));
+      return;
+    }
+    const CallId call = request.m_call;
+    const auto [entry, is_new] =
+        m_runs.emplace(call, WaitingRun{std::move(request), std::move(sink)});
+    JR_CHECK(is_new);
+    if (m_ready) {
+      SendRun(entry->second);
+    }
+  }
+
+  void SendRun(WaitingRun& run) {
+    JR_CHECK(!run.m_was_sent);
+    run.m_was_sent = true;
+    m_connection->Send(run.m_request);
+  }
+
+  void SendControl(std::string text, ControlSink sink) {
+    if (!PrepareCall()) {
+      sink({});
+      return;
+    }
+    ControlCall call{++m_last_control, std::move(text)};
+    m_controls.emplace(call.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(call);
+    } else {
+      m_unsent_controls.push_back(std::move(call));
+    }
+  }
+
+  // Starts to connect if need be; false while the peer is known unreachable.
+  bool PrepareCall() {
+    if (m_closed || SteadyClock().Now() < m_no_connect_before) {
+      return false;
+    }
+    if (m_connection == nullptr && !m_connecting) {
+      Connect();
+    }
+    return true;
+  }
+
+  void Connect() {
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(m_target.m_peer_endpoint.m_address, error),
+        m_target.m_peer_endpoint.m_port);
+    m_connecting = true;
+    auto socket = std::make_shared<asio::ip::tcp::socket>(m_strand);
+    socket->async_connect(
+        endpoint, [self = shared_from_this(), socket](auto connect_error) {
+          self->m_connect_timer.cancel();
+          self->OnConnected(connect_error, std::move(*socket));
+        });
+    m_connect_timer.expires_after(kConnectTimeout);
+    m_connect_timer.async_wait([socket](auto cancelled) {
+      boost::system::error_code ignored;
+      if (!cancelled) {
+        socket->close(ignored);
+      }
+    });
+  }
+
+  void OnConnected(boost::system::error_code error,
+                   asio::ip::tcp::socket socket) {
+    m_connecting = false;
+    if (error || m_closed || !socket.is_open()) {
+      m_no_connect_before = SteadyClock().Now() + kReconnectDelay;
+      FailAll();
+      return;
+    }
+    m_connection = std::make_shared<PeerConnection>(std::move(socket));
+    m_connection->Start(
+        [self = shared_from_this()](PeerFrame frame) {
+          std::visit([&](auto& message) { self->On(std::move(message)); },
+                     frame);
+        },
+        [self = shared_from_this(), connection = m_connection] {
+          self->OnClosed(connection);
+        });
+    m_connection->Send(m_self);
+    m_heartbeats_sent = 0;
+    m_heartbeats_answered = 0;
+    ScheduleHeartbeat();
+  }
+
+  void ScheduleHeartbeat() {
+    m_timer.expires_after(kHeartbeatInterval);
+    m_timer.async_wait([self = shared_from_this()](auto error) {
+      if (!error) {
+        self->OnHeartbeatDue();
+      }
+    });
+  }
+
+  void OnHeartbeatDue() {
+    if (m_connection == nullptr) {
+      return;
+    }
+    // Check if the connection has gone silent
+    if (m_heartbeats_sent - m_heartbeats_answered > kMissedHeartbeatsAllowed) {
+      Drop();
+      return;
+    }
+    m_connection->Send(Heartbeat{++m_heartbeats_sent});
+    ScheduleHeartbeat();
+  }
+
+  void Drop() {
+    if (m_connection != nullptr) {
+      m_connection->Close();
+    }
+  }
+
+  void OnClosed(const std::shared_ptr<PeerConnection>& connection) {
+    if (connection != m_connection) {
+      return;
+    }
+    m_connection = nullptr;
+    m_ready = false;
+    m_timer.cancel();
+    m_no_connect_before = SteadyClock().Now() + kReconnectDelay;
+    LogEvent(EventId::kPeerLost, "peer={} calls={}", m_target.m_id.Text(),
+             m_queries.size() + m_runs.size());
+    FailAll();
+  }
+
+  void FailAll() {
+    const auto queries = std::exchange(m_queries, {});
+    const auto runs = std::exchange(m_runs, {});
+    const auto controls = std::exchange(m_controls, {});
+    m_unsent_controls.clear();
+    for (const auto& [call, waiting] : queries) {
+      waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
+    }
+    for (const auto& [call, waiting] : runs) {
+      waiting.m_sink(
+          waiting.m_was_sent
+              ? FailedAnswer(waiting.m_request, Outcome::kUnknown, "owner_lost")
+              : FailedAnswer(waiting.m_request, Outcome::kNotRun,
+                             "owner_unreachable"));
+    }
+    for (const auto& [number, sink] : controls) {
+      sink({});
+    }
+  }
+
+  void On(Hello hello) {
+    // Check that the address still belongs to the instance that was meant
+    if (hello.m_protocol != kPeerProtocolVersion ||
+        hello.m_instance != m_target.m_id) {
+      LogEvent(EventId::kPeerRefused, "peer={} answered={} protocol={}",
+               m_target.m_id.Text(), hello.m_instance.Text(), hello.m_protocol);
+      Drop();
+      return;
+    }
+    LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    m_ready = true;
+    for (const auto& [call, waiting] : m_queries) {
+      m_connection->Send(waiting.m_query);
+    }
+    for (auto& [call, waiting] : m_runs) {
+      SendRun(waiting);
+    }
+    for (const ControlCall& control : m_unsent_controls) {
+      m_connection->Send(control);
+    }
+    m_unsent_controls.clear();
+  }
+
+  void On(Heartbeat heartbeat) {
+    m_heartbeats_answered = std::max(m_heartbeats_answered, heartbeat.m_number);
+  }
+
+  void On(SubAnswer answer) {
+    const auto found = m_queries.find(answer.m_call);
+    if (found == m_queries.end()) {
+      LogEvent(EventId::kLateReplyDropped, "request={}",
+               answer.m_call.m_request.ToText());
+      return;
+    }
+    const PeerService::SubAnswerSink sink = found->second.m_sink;
+    if (answer.m_is_last) {
+      m_queries.erase(found);
+    }
+    sink(std::move(answer));
+  }
+
+  void On(RunAnswer answer) {
+    const auto found = m_runs.find(answer.m_call);
+    if (found == m_runs.end()) {
+      LogEvent(EventId::kLateReplyDropped, "request={}",
+               answer.m_call.m_request.ToText());
+      return;
+    }
+    const PeerService::RunAnswerSink sink = std::move(found->second.m_sink);
+    m_runs.erase(found);
+    sink(std::move(answer));
+  }
+
+  void On(ControlReply reply) {
+    const auto found = m_controls.find(reply.m_number);
+    if (found == m_controls.end()) {
+      return;
+    }
+    const ControlSink sink = std::move(found->second);
+    m_controls.erase(found);
+    sink(std::move(reply.m_text));
+  }
+
+  // Calls do not arrive on a dialled connection.
+  void On(const SubQuery&) { Drop(); }
+  void On(const jackdawrack::Cancel&) { Drop(); }
+  void On(const RunRequest&) { Drop(); }
+  void On(const ControlCall&) { Drop(); }
+
+  const Instance m_target;
+  const Hello m_self;
+  asio::strand<asio::io_context::executor_type> m_strand;
+  asio::steady_timer m_timer;
+  asio::steady_timer m_connect_timer;
+
+  // Connection
+  std::shared_ptr<PeerConnection> m_connection;
+  bool m_connecting = false;
+  bool m_ready = false;
+  bool m_closed = false;
+  TimePoint m_no_connect_before{};
+  std::uint64_t m_heartbeats_sent = 0;
+  std::uint64_t m_heartbeats_answered = 0;
+
+  // Calls that wait for an answer
+  std::unordered_map<CallId, WaitingQuery> m_queries;
+  std::unordered_map<CallId, WaitingRun> m_runs;
+  std::unordered_map<std::uint64_t, ControlSink> m_controls;
+  std::vector<ControlCall> m_unsent_controls;
+  std::uint64_t m_last_control = 0;
+};
+
+PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
+    : m_impl(
+          std::make_shared<Impl>(context, std::move(target), std::move(self))) {
+}
+
+PeerClient::~PeerClient() {
+  m_impl->Close();
+}
+
+void PeerClient::Send(SubQuery query, PeerService::SubAnswerSink sink) {
+  m_impl->Send(std::move(query), std::move(sink));
+}
+
+void PeerClient::Send(RunRequest request, PeerService::RunAnswerSink sink) {
+  m_impl->Send(std::move(request), std::move(sink));
+}
+
+void PeerClient::Cancel(CallId call) {
+  m_impl->Cancel(call);
+}
+
+void PeerClient::Call(std::string text, ControlSink sink) {
+  m_impl->Call(std::move(text), std::move(sink));
+}
+
+void PeerClient::Close() {
+  m_impl->Close();
+}
+
+const Instance& PeerClient::Target() const {
+  return m_impl->Target();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/src/peer_connection.cpp
@@ -0,0 +1,134 @@
+#include "peer/peer_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include "core/check.h"
+#include "core/event.h"
+#include "net/socket_options.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kMaxQueuedBytes = 64 << 20;
+constexpr Milliseconds kUserTimeout{3000};
+
+}  // namespace
+
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket)) {
+  ApplySocketOptions(m_socket, kUserTimeout);
+}
+
+void PeerConnection::Start(FrameHandler on_frame, ClosedHandler on_closed) {
+  JR_CHECK(m_on_frame == nullptr);
+  m_on_frame = std::move(on_frame);
+  m_on_closed = std::move(on_closed);
+  ReadHeader();
+}
+
+bool PeerConnection::Send(const PeerFrame& frame) {
+  if (!m_open || m_queued_bytes > kMaxQueuedBytes) {
+    return false;
+  }
+  const std::string body = BinaryCodec::Encode(frame);
+  std::string bytes(sizeof(std::uint32_t), '\0');
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(bytes.data()),
+                               static_cast<std::uint32_t>(body.size()));
+  bytes += body;
+  m_queued_bytes += bytes.size();
+  m_queue.push_back(std::move(bytes));
+  if (m_writing.empty()) {
+    WriteNext();
+  }
+  return true;
+}
+
+void PeerConnection::Close() {
+  OnError();
+}
+
+void PeerConnection::ReadHeader() {
+  asio::async_read(
+      m_socket, asio::buffer(m_header),
+      [self = shared_from_this()](auto error, std::size_t) {
+        if (error) {
+          self->OnError();
+          return;
+        }
+        self->ReadBody(boost::endian::load_big_u32(
+            reinterpret_cast<unsigned char*>(self->m_header.data())));
+      });
+}
+
+void PeerConnection::ReadBody(std::uint32_t size) {
+  if (size > kMaxFrameBytes) {
+    LogEvent(EventId::kFrameRefused, "bytes={} limit={}", size, kMaxFrameBytes);
+    OnError();
+    return;
+  }
+  m_body.resize(size);
+  asio::async_read(m_socket, asio::buffer(m_body),
+                   [self = shared_from_this()](auto error, std::size_t read) {
+                     if (error) {
+                       self->OnError();
+                       return;
+                     }
+                     self->OnBody(read);
+                   });
+}
+
+void PeerConnection::OnBody(std::size_t size) {
+  m_bytes_received += size + m_header.size();
+  std::optional<PeerFrame> frame = BinaryCodec::Decode(m_body);
+  if (!frame) {
+    LogEvent(EventId::kFrameRefused, "bytes={} undecodable", size);
+    OnError();
+    return;
+  }
+  m_on_frame(std::move(*frame));
+  if (m_open) {
+    ReadHeader();
+  }
+}
+
+void PeerConnection::WriteNext() {
+  // Write everything that waits as one piece
+  for (const std::string& bytes : m_queue) {
+    m_writing += bytes;
+  }
+  m_queue.clear();
+  asio::async_write(m_socket, asio::buffer(m_writing),
+                    [self = shared_from_this()](auto error, std::size_t sent) {
+                      self->m_bytes_sent += sent;
+                      self->m_queued_bytes -= self->m_writing.size();
+                      self->m_writing.clear();
+                      if (error) {
+                        self->OnError();
+                        return;
+                      }
+                      if (!self->m_queue.empty()) {
+                        self->WriteNext();
+                      }
+                    });
+}
+
+void PeerConnection::OnError() {
+  if (!m_open) {
+    return;
+  }
+  m_open = false;
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+  if (m_on_closed) {
+    // Let the caller return before the owner of this connection is told
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this()] { self->m_on_closed(); });
+  }
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/src/peer_router.cpp
@@ -0,0 +1,67 @@
+#include "peer/peer_router.h"
+
+#include <boost/asio/post.hpp>
+
+namespace jackdawrack {
+
+PeerRouter::PeerRouter(boost::asio::io_context& context,
+                       Hello self,
+                       PeerService local)
+    : m_context(context), m_self(std::move(self)), m_local(std::move(local)) {}
+
+void PeerRouter::Send(const Instance& target,
+                      SubQuery query,
+                      PeerService::SubAnswerSink sink) {
+  if (target.m_id == m_self.m_instance) {
+    m_local.m_on_sub_query(std::move(query), std::move(sink));
+    return;
+  }
+  ClientFor(target)->Send(std::move(query), std::move(sink));
+}
+
+void PeerRouter::Send(const Instance& target,
+                      RunRequest request,
+                      PeerService::RunAnswerSink sink) {
+  if (target.m_id == m_self.m_instance) {
+    m_local.m_on_run_request(std::move(request), std::move(sink));
+    return;
+  }
+  ClientFor(target)->Send(std::move(request), std::move(sink));
+}
+
+void PeerRouter::Cancel(const Instance& target, CallId call) {
+  if (target.m_id == m_self.m_instance) {
+    m_local.m_on_cancel(call);
+    return;
+  }
+  ClientFor(target)->Cancel(call);
+}
+
+void PeerRouter::Call(const Instance& target,
+                      std::string text,
+                      PeerService::ControlSink sink) {
+  if (target.m_id == m_self.m_instance) {
+    m_local.m_on_control(m_self, std::move(text), std::move(sink));
+    return;
+  }
+  ClientFor(target)->Call(std::move(text), std::move(sink));
+}
+
+void PeerRouter::Close() {
+  const std::lock_guard lock(m_mutex);
+  m_clients.clear();
+}
+
+std::shared_ptr<PeerClient> PeerRouter::ClientFor(const Instance& target) {
+  const std::lock_guard lock(m_mutex);
+  std::shared_ptr<PeerClient>& client = m_clients[target.m_id];
+
+  // Replace the client of an instance that came back at another address
+  if (client == nullptr ||
+      client->Target().m_peer_endpoint != target.m_peer_endpoint) {
+    client = std::make_shared<PeerClient>(m_context, target, m_self);
+  }
+  return client;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/peer/src/peer_server.cpp
@@ -0,0 +1,199 @@
+#include "peer/peer_server.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <set>
+
+#include "core/event.h"
+#include "peer/peer_connection.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+
+// One accepted connection: its hello first, then its calls.
+class PeerSession final : public std::enable_shared_from_this<PeerSession> {
+ public:
+  PeerSession(asio::ip::tcp::socket socket,
+              const Hello& self,
+              const PeerService& service)
+      : m_executor(socket.get_executor()),
+        m_connection(std::make_shared<PeerConnection>(std::move(socket))),
+        m_self(self),
+        m_service(service) {}
+
+  void Start(std::function<void()> on_closed) {
+    m_connection->Start(
+        [self = shared_from_this()](PeerFrame frame) {
+          std::visit([&](auto& message) { self->On(std::move(message)); },
+                     frame);
+        },
+        std::move(on_closed));
+    m_connection->Send(m_self);
+  }
+
+  void Close() {
+    asio::post(m_executor,
+               [self = shared_from_this()] { self->m_connection->Close(); });
+  }
+
+ private:
+  void On(Hello hello) {
+    if (hello.m_protocol != kPeerProtocolVersion) {
+      LogEvent(EventId::kPeerRefused, "peer={} protocol={}",
+               hello.m_instance.Text(), hello.m_protocol);
+      m_connection->Close();
+      return;
+    }
+    m_peer = std::move(hello);
+  }
+
+  void On(Heartbeat heartbeat) { m_connection->Send(heartbeat); }
+
+  void On(SubQuery query) {
+    m_service.m_on_sub_query(std::move(query), MakeSink<SubAnswer>());
+  }
+
+  void On(Cancel cancel) { m_service.m_on_cancel(cancel.m_call); }
+
+  void On(RunRequest request) {
+    m_service.m_on_run_request(std::move(request), MakeSink<RunAnswer>());
+  }
+
+  void On(ControlCall call) {
+    auto sink = MakeSink<ControlReply>();
+    m_service.m_on_control(m_peer, std::move(call.m_text),
+                           [sink, number = call.m_number](std::string text) {
+                             sink(ControlReply{number, std::move(text)});
+                           });
+  }
+
+  // Replies do not arrive on an accepted connection.
+  void On(const SubAnswer&) { m_connection->Close(); }
+  void On(const RunAnswer&) { m_connection->Close(); }
+  void On(const ControlReply&) { m_connection->Close(); }
+
+  template <typename Message>
+  std::function<void(Message)> MakeSink() {
+    return [self = shared_from_this()](Message message) {
+      asio::post(self->m_executor, [self, message = std::move(message)] {
+        self->m_connection->Send(message);
+      });
+    };
+  }
+
+  asio::any_io_executor m_executor;
+  std::shared_ptr<PeerConnection> m_connection;
+  const Hello& m_self;
+  const PeerService& m_service;
+  Hello m_peer;
+};
+
+}  // namespace
+
+class PeerServer::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context,
+       Endpoint endpoint,
+       Hello self,
+       PeerService service)
+      : m_context(context),
+        m_endpoint(std::move(endpoint)),
+        m_self(std::move(self)),
+        m_service(std::move(service)),
+        m_acceptor(asio::make_strand(context)) {}
+
+  NetResult<void> Start() {
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(m_endpoint.m_address, error), m_endpoint.m_port);
+    if (!error) {
+      m_acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+      m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+      m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return MakeError(
+          NetErrc::kNotSent,
+          "cannot listen on " + m_endpoint.ToText() + ": " + error.message());
+    }
+    Accept();
+    return boost::outcome_v2::success();
+  }
+
+  void Stop() {
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+      boost::system::error_code ignored;
+      self->m_acceptor.close(ignored);
+      for (const auto& session : self->m_sessions) {
+        session->Close();
+      }
+    });
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept(
+        asio::make_strand(m_context),
+        [self = shared_from_this()](auto error, asio::ip::tcp::socket socket) {
+          if (!self->m_acceptor.is_open()) {
+            return;
+          }
+          if (!error) {
+            self->StartSession(std::move(socket));
+          }
+          self->Accept();
+        });
+  }
+
+  void StartSession(asio::ip::tcp::socket socket) {
+    const auto executor = socket.get_executor();
+    auto session =
+        std::make_shared<PeerSession>(std::move(socket), m_self, m_service);
+    m_sessions.insert(session);
+    asio::post(executor, [self = shared_from_this(), session] {
+      session->Start([self, session] {
+        asio::post(self->m_acceptor.get_executor(),
+                   [self, session] { self->m_sessions.erase(session); });
+      });
+    });
+  }
+
+  asio::io_context& m_context;
+  const Endpoint m_endpoint;
+  const Hello m_self;
+  const PeerService m_service;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::set<std::shared_ptr<PeerSession>> m_sessions;
+};
+
+PeerServer::PeerServer(asio::io_context& context,
+                       Endpoint endpoint,
+                       Hello self,
+                       PeerService service)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(endpoint),
+                                    std::move(self),
+                                    std::move(service))) {}
+
+PeerServer::~PeerServer() {
+  Stop();
+}
+
+NetResult<void> PeerServer::Start() {
+  return m_impl->Start();
+}
+
+void PeerServer::Stop() {
+  m_impl->Stop();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/tests/query_merge_test.cpp
@@ -0,0 +1,41 @@
+#include "policy/query_merge.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+TEST_CASE("a part of another version is never merged") {
+  QueryMerge merge({kWholeKeySpace}, 7);
+  REQUIRE_FALSE(merge.Accept(KeyRange{0, 10}, 6, {"old"}));
+  REQUIRE(merge.Rows().empty());
+}
+
+TEST_CASE("a repeated or overlapping part is dropped") {
+  QueryMerge merge({kWholeKeySpace}, 7);
+  REQUIRE(merge.Accept(KeyRange{0, 10}, 7, {"a"}));
+  REQUIRE_FALSE(merge.Accept(KeyRange{0, 10}, 7, {"a"}));
+  REQUIRE_FALSE(merge.Accept(KeyRange{5, 15}, 7, {"b"}));
+  REQUIRE(merge.Rows() == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("missing ranges carry the last reason that covers them") {
+  QueryMerge merge({KeyRange{0, 30}}, 7);
+  merge.Miss(KeyRange{0, 20}, MissReason::kUnreachable);
+  merge.Miss(KeyRange{10, 20}, MissReason::kOverloaded);
+  REQUIRE(merge.Missing() ==
+          std::vector<MissingRange>{{KeyRange{0, 10}, MissReason::kUnreachable},
+                                    {KeyRange{10, 20}, MissReason::kOverloaded},
+                                    {KeyRange{20, 30}, MissReason::kTimeout}});
+}
+
+TEST_CASE("coverage is the covered share of the wanted keys") {
+  QueryMerge merge({KeyRange{0, 40}}, 1);
+  merge.Accept(KeyRange{10, 20}, 1, {});
+  REQUIRE(merge.Coverage() == Approx(0.25));
+  merge.Restart(2);
+  REQUIRE(merge.Coverage() == Approx(0.0));
+}
+
+}  // namespace
+}  // namespace jackdawrack
