--- /dev/null
+++ b/packages/model/include/model/instance_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/ini.h"
+#include "model/endpoint.h"
+#include "model/ids.h"
+
+namespace jackdawrack {
+
+/// Settings of one instance, read from its INI file.
+struct InstanceSettings {
+  InstanceId m_id;
+  FailureDomain m_domain;
+  std::size_t m_worker_threads = 2;
+  /// Listener for callers.
+  Endpoint m_callers;
+  /// Listener for peer instances.
+  Endpoint m_peers;
+  /// Listener for operators: readiness, metrics, status.
+  Endpoint m_operators;
+  /// Addresses of the configuration service, tried in turn.
+  std::vector<Endpoint> m_platform;
+  /// Time that a planned stop goes on accepting, so that the balancer notices.
+  std::uint32_t m_balancer_lag_ms = 1000;
+  std::size_t m_max_body_bytes = 1 << 20;
+
+  /// Parses the text; on any problem the settings may not be used.
+  static InstanceSettings Parse(const std::string& file,
+                                const std::string& text,
+                                std::vector<IniProblem>& problems);
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/include/policy/config_store.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "model/fleet_state.h"
+#include "model/published_value.h"
+
+namespace jackdawrack {
+
+/// What became of a value offered to the store.
+enum class ConfigVerdict {
+  /// It is greater than what was there and is in force now.
+  kApplied,
+  /// What is there is the same or greater.
+  kKept,
+  /// It is invalid; what is there stays in force.
+  kRefused,
+};
+
+/// The place of a value in the total order; the greater one is in force.
+struct ConfigRank {
+  /// Contract version, map revision, or the platform's revision for the list.
+  std::uint64_t m_version = 0;
+  /// Decides between two texts of the same version, alike on every instance.
+  std::uint64_t m_text_hash = 0;
+
+  friend auto operator<=>(const ConfigRank&, const ConfigRank&) = default;
+  friend bool operator==(const ConfigRank&, const ConfigRank&) = default;
+};
+
+/// Merges published values by a total order, so that every instance ends with
+/// the same ones whatever the order of arrival, and none ever reverts.
+class ConfigStore final {
+ public:
+  /// Offers a value read from the platform or received from a peer. Problems
+  /// of an invalid one are added to `problems`.
+  ConfigVerdict Offer(const PublishedValue& value,
+                      std::vector<IniProblem>& problems);
+
+  /// The parsed values in force.
+  [[nodiscard]] const FleetState& State() const { return m_state; }
+
+  /// The texts in force, for peers.
+  [[nodiscard]] std::vector<PublishedValue> Values() const;
+
+  /// True when two texts of one version were seen for this name.
+  [[nodiscard]] bool HasConflict(const std::string& name) const;
+
+ private:
+  struct Held {
+    ConfigRank m_rank;
+    PublishedValue m_value;
+    bool m_conflict = false;
+  };
+
+  ConfigVerdict OfferContract(const PublishedValue& value,
+                              std::vector<IniProblem>& problems);
+  ConfigVerdict OfferMap(const PublishedValue& value,
+                         std::vector<IniProblem>& problems);
+  ConfigVerdict OfferInstances(const PublishedValue& value,
+                               std::vector<IniProblem>& problems);
+
+  // Keeps the greater of the held and the offered value.
+  bool Advance(const PublishedValue& value, std::uint64_t version);
+
+  FleetState m_state;
+  std::map<std::string, Held> m_held;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/src/config_store.cpp
@@ -0,0 +1,121 @@
+#include "policy/config_store.h"
+
+#include "core/hash.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr std::string_view kContractPrefix = "contracts/";
+constexpr std::string_view kMapPrefix = "map/";
+constexpr std::string_view kInstancesName = "instances";
+
+bool StartsWith(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+ConfigVerdict ConfigStore::Offer(const PublishedValue& value,
+                                 std::vector<IniProblem>& problems) {
+  if (StartsWith(value.m_name, kContractPrefix)) {
+    return OfferContract(value, problems);
+  }
+  if (StartsWith(value.m_name, kMapPrefix)) {
+    return OfferMap(value, problems);
+  }
+  if (value.m_name == kInstancesName) {
+    return OfferInstances(value, problems);
+  }
+  return ConfigVerdict::kKept;
+}
+
+ConfigVerdict ConfigStore::OfferContract(const PublishedValue& value,
+                                         std::vector<IniProblem>& problems) {
+  std::vector<IniProblem> found;
+  const auto contract = std::make_shared<const Contract>(
+      Contract::Parse(value.m_name, value.m_text, found));
+
+  // Check that the contract stands under its own customer's name
+  if (found.empty() &&
+      kContractPrefix.data() + contract->Name().Text() != value.m_name) {
+    found.push_back(IniProblem{value.m_name, "contract", "customer",
+                               "accepted is the customer that the value's "
+                               "name gives"});
+  }
+  if (!found.empty()) {
+    problems.insert(problems.end(), found.begin(), found.end());
+    return ConfigVerdict::kRefused;
+  }
+  if (!Advance(value, contract->Version())) {
+    return ConfigVerdict::kKept;
+  }
+  m_state.m_contracts[contract->Name()] = contract;
+  return ConfigVerdict::kApplied;
+}
+
+ConfigVerdict ConfigStore::OfferMap(const PublishedValue& value,
+                                    std::vector<IniProblem>& problems) {
+  std::vector<IniProblem> found;
+  const auto map = std::make_shared<const CollectionMap>(
+      CollectionMap::Parse(value.m_name, value.m_text, found));
+  if (!found.empty()) {
+    problems.insert(problems.end(), found.begin(), found.end());
+    return ConfigVerdict::kRefused;
+  }
+  if (!Advance(value, map->Revision())) {
+    return ConfigVerdict::kKept;
+  }
+  m_state.m_collections[map->Name()] = map;
+  return ConfigVerdict::kApplied;
+}
+
+ConfigVerdict ConfigStore::OfferInstances(const PublishedValue& value,
+                                          std::vector<IniProblem>& problems) {
+  std::vector<IniProblem> found;
+  std::vector<Instance> instances =
+      ParseInstanceList(value.m_name, value.m_text, found);
+  if (!found.empty()) {
+    problems.insert(problems.end(), found.begin(), found.end());
+    return ConfigVerdict::kRefused;
+  }
+  if (!Advance(value, value.m_revision)) {
+    return ConfigVerdict::kKept;
+  }
+  m_state.m_instances = std::move(instances);
+  return ConfigVerdict::kApplied;
+}
+
+bool ConfigStore::Advance(const PublishedValue& value, std::uint64_t version) {
+  const ConfigRank rank{version, Hash64(value.m_text)};
+  Held& held = m_held[value.m_name];
+
+  // Note two texts of one version; the greater hash decides everywhere
+  if (held.m_rank.m_version == version &&
+      held.m_rank.m_text_hash != rank.m_text_hash) {
+    held.m_conflict = true;
+  }
+  if (rank <= held.m_rank) {
+    return false;
+  }
+  if (version > held.m_rank.m_version) {
+    held.m_conflict = false;
+  }
+  held.m_rank = rank;
+  held.m_value = value;
+  return true;
+}
+
+std::vector<PublishedValue> ConfigStore::Values() const {
+  std::vector<PublishedValue> values;
+  for (const auto& [name, held] : m_held) {
+    values.push_back(held.m_value);
+  }
+  return values;
+}
+
+bool ConfigStore::HasConflict(const std::string& name) const {
+  const auto found = m_held.find(name);
+  return found != m_held.end() && found->second.m_conflict;
+}
+
+}  // namespace jackdawrack
