--- /dev/null
+++ b/packages/owner/include/owner/owner_service.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "core/metrics.h"
+#include "model/ids.h"
+#include "peer/peer_service.h"
+#include "policy/fleet_view.h"
+
+namespace jackdawrack {
+
+/// The owner role: holds the connections of its failure domain to the
+/// upstreams of its blocks and runs what entries ask for.
+class OwnerService final {
+ public:
+  /// `holder` and `metrics` have to outlive this object.
+  OwnerService(boost::asio::io_context& context,
+               FailureDomain domain,
+               const FleetViewHolder& holder,
+               MetricsRegistry& metrics);
+  ~OwnerService();
+
+  OwnerService(const OwnerService&) = delete;
+  OwnerService& operator=(const OwnerService&) = delete;
+
+  /// Asks the replicas of this domain for the ranges of a sub-query.
+  void OnSubQuery(SubQuery query, PeerService::SubAnswerSink sink);
+
+  /// Withdraws what a sub-query still waits for.
+  void OnCancel(CallId call);
+
+  /// Runs a non-idempotent request at most once.
+  void OnRunRequest(RunRequest request, PeerService::RunAnswerSink sink);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/src/idempotency_table.cpp
@@ -0,0 +1,66 @@
+#include "policy/idempotency_table.h"
+
+#include "core/check.h"
+
+namespace jackdawrack {
+
+IdempotencyTable::IdempotencyTable(Milliseconds window, std::size_t capacity)
+    : m_window(window), m_capacity(capacity) {
+  JR_CHECK(capacity > 0);
+}
+
+KeyVerdict IdempotencyTable::Claim(const std::string& key,
+                                   std::uint64_t body_digest,
+                                   TimePoint now) {
+  const auto found = m_records.find(key);
+  if (found != m_records.end()) {
+    if (found->second.m_body_digest != body_digest) {
+      return KeyVerdict::kOtherBody;
+    }
+    return found->second.m_is_settled ? KeyVerdict::kSettled
+                                      : KeyVerdict::kRunning;
+  }
+  if (m_records.size() >= m_capacity) {
+    ForgetOld(now);
+  }
+  if (m_records.size() >= m_capacity) {
+    return KeyVerdict::kFull;
+  }
+  KeyRecord record;
+  record.m_body_digest = body_digest;
+  record.m_first_seen = now;
+  m_records.emplace(key, std::move(record));
+  return KeyVerdict::kRun;
+}
+
+void IdempotencyTable::Settle(const std::string& key,
+                              Outcome outcome,
+                              std::string result) {
+  const auto found = m_records.find(key);
+  JR_CHECK(found != m_records.end());
+  JR_CHECK(!found->second.m_is_settled);
+  if (outcome == Outcome::kNotRun) {
+    m_records.erase(found);
+    return;
+  }
+  found->second.m_is_settled = true;
+  found->second.m_outcome = outcome;
+  found->second.m_result = std::move(result);
+}
+
+std::optional<KeyRecord> IdempotencyTable::Find(const std::string& key) const {
+  const auto found = m_records.find(key);
+  if (found == m_records.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void IdempotencyTable::ForgetOld(TimePoint now) {
+  std::erase_if(m_records, [&](const auto& entry) {
+    return entry.second.m_is_settled &&
+           entry.second.m_first_seen + m_window < now;
+  });
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/upstream/include/upstream/upstream_pool.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "core/clock.h"
+#include "model/upstream.h"
+#include "net/http_message.h"
+#include "upstream/upstream_error.h"
+
+namespace jackdawrack {
+
+/// Load of one upstream as its owner sees it.
+struct UpstreamLoad {
+  std::uint32_t m_running = 0;
+  std::uint32_t m_queued = 0;
+  bool m_is_draining = false;
+};
+
+/// The connections, slots and queue of one upstream.
+///
+/// At most `m_slots` requests run at once; the rest wait in order of deadline.
+/// Methods may be called from any thread; handlers run on the pool's strand.
+class UpstreamPool final {
+ public:
+  using ReplyHandler = std::function<void(UpstreamResult<HttpReply>)>;
+
+  UpstreamPool(boost::asio::io_context& context, Upstream upstream);
+  ~UpstreamPool();
+
+  UpstreamPool(const UpstreamPool&) = delete;
+  UpstreamPool& operator=(const UpstreamPool&) = delete;
+
+  /// Sends a request when a slot is free, or fails it at its deadline. `call`
+  /// names it for `Cancel`.
+  void Submit(std::string call,
+              HttpRequest request,
+              TimePoint deadline,
+              ReplyHandler handler);
+
+  /// Withdraws a request that still waits; one that runs is cancelled at the
+  /// upstream by `cancel_request` and its reply is dropped there.
+  void Cancel(std::string call, HttpRequest cancel_request);
+
+  /// Notes that the upstream said it is leaving.
+  void MarkDraining();
+
+  [[nodiscard]] UpstreamLoad Load() const;
+  [[nodiscard]] const Upstream& Target() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
