--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,73 @@
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "core/event.h"
+#include "daemon/daemon.h"
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitCannotStart = 1;
+constexpr int kExitBadSettings = 2;
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "jackdawrackd: one instance of the query tier.\n"
+      "Exit codes: 0 stopped as planned, 1 cannot start, 2 bad settings."};
+  std::string settings_path;
+  bool only_check = false;
+  app.add_option("--settings", settings_path, "INI file of this instance")
+      ->required();
+  app.add_flag("--check", only_check, "check the settings and exit");
+  app.set_version_flag("--version", JACKDAWRACK_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
+  }
+
+  // Read the settings
+  const auto text = ReadFile(settings_path);
+  std::vector<jackdawrack::IniProblem> problems;
+  if (!text) {
+    problems.push_back({settings_path, "", "", "cannot be read"});
+  }
+  const auto settings = jackdawrack::InstanceSettings::Parse(
+      settings_path, text.value_or(""), problems);
+  if (!problems.empty()) {
+    jackdawrack::LogEvent(jackdawrack::EventId::kSettingsRefused, "{}",
+                          jackdawrack::JoinProblems(problems));
+    return kExitBadSettings;
+  }
+  if (only_check) {
+    fmt::print("{}: ok\n", settings_path);
+    return kExitOk;
+  }
+
+  // Serve until told to stop
+  jackdawrack::ConfigureEvents(settings.m_id.Text(),
+                               jackdawrack::EventLevel::kInfo);
+  jackdawrack::Daemon daemon(settings);
+  const auto started = daemon.Start();
+  if (!started) {
+    fmt::print(stderr, "{}\n", started.error().m_message);
+    return kExitCannotStart;
+  }
+  daemon.RunUntilSignal();
+  return kExitOk;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,177 @@
+#include "daemon/daemon.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <thread>
+
+#include "core/event.h"
+#include "core/metrics.h"
+#include "core/random.h"
+#include "core/worker_pool.h"
+#include "entry/entry_service.h"
+#include "fleet/config_sync.h"
+#include "net/http_server.h"
+#include "operator_api.h"
+#include "owner/owner_service.h"
+#include "peer/peer_router.h"
+#include "peer/peer_server.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr Milliseconds kDrainPoll{10};
+
+/// Longest time that running requests are waited for; the greatest deadline
+/// that a contract can ask for.
+constexpr Milliseconds kMaxDrain{60'000};
+
+Hello MakeHello(const InstanceSettings& settings) {
+  Hello hello;
+  hello.m_instance = settings.m_id;
+  hello.m_domain = settings.m_domain;
+  hello.m_epoch = RandomEpoch();
+  return hello;
+}
+
+EntrySettings MakeEntrySettings(const InstanceSettings& settings,
+                                std::uint64_t epoch) {
+  EntrySettings entry;
+  entry.m_domain = settings.m_domain;
+  entry.m_epoch = epoch;
+  return entry;
+}
+
+HttpServerSettings MakeServerSettings(const InstanceSettings& settings,
+                                      const Endpoint& endpoint) {
+  HttpServerSettings server;
+  server.m_endpoint = endpoint;
+  server.m_max_body_bytes = settings.m_max_body_bytes;
+  return server;
+}
+
+}  // namespace
+
+class Daemon::Impl final {
+ public:
+  explicit Impl(InstanceSettings settings)
+      : m_settings(std::move(settings)),
+        m_hello(MakeHello(m_settings)),
+        m_workers(m_settings.m_worker_threads),
+        m_config(m_workers.Context(), m_settings, m_holder),
+        m_owner(m_workers.Context(), m_settings.m_domain, m_holder, m_metrics),
+        m_router(m_workers.Context(), m_hello, MakeService()),
+        m_entry(m_workers.Context(),
+                MakeEntrySettings(m_settings, m_hello.m_epoch),
+                m_holder,
+                m_router,
+                m_metrics),
+        m_peer_server(m_workers.Context(),
+                      m_settings.m_peers,
+                      m_hello,
+                      MakeService()),
+        m_callers(m_workers.Context(),
+                  MakeServerSettings(m_settings, m_settings.m_callers),
+                  [this](const HttpRequest& request, HttpServer::Reply reply) {
+                    m_entry.Handle(request, std::move(reply));
+                  }),
+        m_operator_api(m_settings, m_holder, m_metrics, m_config, m_stopping),
+        m_operators(
+            m_workers.Context(),
+            MakeServerSettings(m_settings, m_settings.m_operators),
+            [this](const HttpRequest& request, const HttpServer::Reply& reply) {
+              reply(m_operator_api.Handle(request));
+            }) {}
+
+  ~Impl() { m_workers.Stop(); }
+
+  NetResult<void> Start() {
+    for (auto start :
+         {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
+      if (!start) {
+        return start;
+      }
+    }
+    m_config.Start();
+    m_workers.Start();
+    LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
+             m_settings.m_id.Text(), m_settings.m_domain.Text(),
+             m_settings.m_callers.ToText());
+    return boost::outcome_v2::success();
+  }
+
+  void RunUntilSignal() {
+    boost::asio::io_context signals;
+    boost::asio::signal_set set(signals, SIGTERM, SIGINT);
+    set.async_wait([](auto, int) {});
+    signals.run();
+    StopGracefully();
+  }
+
+ private:
+  PeerService MakeService() {
+    PeerService service;
+    service.m_on_sub_query = [this](SubQuery query,
+                                    PeerService::SubAnswerSink sink) {
+      m_owner.OnSubQuery(std::move(query), std::move(sink));
+    };
+    service.m_on_cancel = [this](CallId call) { m_owner.OnCancel(call); };
+    service.m_on_run_request = [this](RunRequest request,
+                                      PeerService::RunAnswerSink sink) {
+      m_owner.OnRunRequest(std::move(request), std::move(sink));
+    };
+    service.m_on_control = [](const Hello&, const std::string&,
+                              const PeerService::ControlSink& sink) {
+      sink({});
+    };
+    return service;
+  }
+
+  void StopGracefully() {
+    LogEvent(EventId::kProcessStopping, "balancer_lag_ms={}",
+             m_settings.m_balancer_lag_ms);
+
+    // Fail readiness and go on serving until the balancer has noticed
+    m_stopping = true;
+    std::this_thread::sleep_for(Milliseconds(m_settings.m_balancer_lag_ms));
+
+    // Take what waits in the accept queue and finish what runs
+    m_callers.StopAccepting();
+    const TimePoint give_up = SteadyClock().Now() + kMaxDrain;
+    std::this_thread::sleep_for(kDrainPoll);
+    while (m_callers.RunningRequests() > 0 && SteadyClock().Now() < give_up) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+    m_callers.CloseIdle();
+    LogEvent(EventId::kProcessStopped, "running={}",
+             m_callers.RunningRequests());
+  }
+
+  const InstanceSettings m_settings;
+  const Hello m_hello;
+  FleetViewHolder m_holder;
+  MetricsRegistry m_metrics;
+  std::atomic<bool> m_stopping{false};
+  WorkerPool m_workers;
+  ConfigSync m_config;
+  OwnerService m_owner;
+  PeerRouter m_router;
+  EntryService m_entry;
+  PeerServer m_peer_server;
+  HttpServer m_callers;
+  OperatorApi m_operator_api;
+  HttpServer m_operators;
+};
+
+Daemon::Daemon(InstanceSettings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings))) {}
+
+Daemon::~Daemon() = default;
+
+NetResult<void> Daemon::Start() {
+  return m_impl->Start();
+}
+
+void Daemon::RunUntilSignal() {
+  m_impl->RunUntilSignal();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/daemon/src/operator_api.cpp
@@ -0,0 +1,112 @@
+#include "operator_api.h"
+
+#include <boost/json.hpp>
+
+namespace jackdawrack {
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned kUnavailable = 503;
+
+HttpReply TextReply(unsigned status, std::string text) {
+  HttpReply reply;
+  reply.m_status = status;
+  reply.m_content_type = "text/plain; charset=utf-8";
+  reply.m_body = std::move(text);
+  return reply;
+}
+
+HttpReply JsonReply(const json::value& value) {
+  HttpReply reply;
+  reply.m_body = json::serialize(value);
+  return reply;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(const InstanceSettings& settings,
+                         const FleetViewHolder& holder,
+                         MetricsRegistry& metrics,
+                         const ConfigSync& config,
+                         const std::atomic<bool>& stopping)
+    : m_settings(settings),
+      m_holder(holder),
+      m_metrics(metrics),
+      m_config(config),
+      m_stopping(stopping) {}
+
+HttpReply OperatorApi::Handle(const HttpRequest& request) {
+  if (request.m_target == "/healthz") {
+    return TextReply(200, "ok\n");
+  }
+  if (request.m_target == "/readyz") {
+    return IsReady() ? TextReply(200, "ready\n")
+                     : TextReply(kUnavailable, "not ready\n");
+  }
+  if (request.m_target == "/metrics") {
+    return TextReply(200, m_metrics.ToText());
+  }
+  if (request.m_target == "/v1/status") {
+    return Status();
+  }
+  if (request.m_target == "/v1/contracts") {
+    return Contracts();
+  }
+  return TextReply(404,
+                   "accepted are /healthz, /readyz, /metrics, /v1/status and "
+                   "/v1/contracts\n");
+}
+
+bool OperatorApi::IsReady() const {
+  return !m_stopping && m_config.IsSynced();
+}
+
+HttpReply OperatorApi::Status() const {
+  const auto view = m_holder.Get();
+  json::array collections;
+  for (const auto& [name, map] : view->State().m_collections) {
+    collections.push_back(json::object{
+        {"name", name.Text()},
+        {"revision", map->Revision()},
+        {"index_version", map->IndexVersion()},
+        {"shards", map->Shards().size()},
+        {"upstreams", map->Upstreams().size()},
+    });
+  }
+  json::array instances;
+  for (const Instance& instance : view->State().m_instances) {
+    instances.push_back(json::object{
+        {"id", instance.m_id.Text()},
+        {"failure_domain", instance.m_domain.Text()},
+        {"state",
+         instance.m_state == InstanceState::kLive ? "live" : "leaving"},
+    });
+  }
+  return JsonReply(json::object{
+      {"instance", m_settings.m_id.Text()},
+      {"failure_domain", m_settings.m_domain.Text()},
+      {"version", JACKDAWRACK_VERSION},
+      {"ready", IsReady()},
+      {"stopping", m_stopping.load()},
+      {"config_age_ms", m_config.Age().count()},
+      {"collections", std::move(collections)},
+      {"instances", std::move(instances)},
+  });
+}
+
+HttpReply OperatorApi::Contracts() const {
+  const auto view = m_holder.Get();
+  json::array contracts;
+  for (const auto& [customer, contract] : view->State().m_contracts) {
+    contracts.push_back(json::object{
+        {"customer", customer.Text()},
+        {"version", contract->Version()},
+        {"deadline_ms", contract->DeadlineMs()},
+        {"minimum_coverage", contract->MinimumCoverage()},
+    });
+  }
+  return JsonReply(json::object{{"contracts", std::move(contracts)}});
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/daemon/src/operator_api.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <atomic>
+
+#include "core/metrics.h"
+#include "fleet/config_sync.h"
+#include "model/instance_settings.h"
+#include "net/http_message.h"
+#include "policy/fleet_view.h"
+
+namespace jackdawrack {
+
+/// What operators and the balancer ask an instance: liveness, readiness,
+/// metrics, status and contracts. It changes nothing.
+class OperatorApi final {
+ public:
+  /// All references have to outlive this object.
+  OperatorApi(const InstanceSettings& settings,
+              const FleetViewHolder& holder,
+              MetricsRegistry& metrics,
+              const ConfigSync& config,
+              const std::atomic<bool>& stopping);
+
+  /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
+  [[nodiscard]] HttpReply Handle(const HttpRequest& request);
+
+ private:
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] HttpReply Status() const;
+  [[nodiscard]] HttpReply Contracts() const;
+
+  const InstanceSettings& m_settings;
+  const FleetViewHolder& m_holder;
+  MetricsRegistry& m_metrics;
+  const ConfigSync& m_config;
+  const std::atomic<bool>& m_stopping;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/entry/include/entry/entry_service.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "core/metrics.h"
+#include "entry/entry_settings.h"
+#include "net/http_server.h"
+#include "peer/peer_router.h"
+#include "policy/fleet_view.h"
+
+namespace jackdawrack {
+
+/// The entry role: takes callers' requests and is responsible for the answers.
+class EntryService final {
+ public:
+  /// All references have to outlive this object.
+  EntryService(boost::asio::io_context& context,
+               EntrySettings settings,
+               const FleetViewHolder& holder,
+               PeerRouter& router,
+               MetricsRegistry& metrics);
+  ~EntryService();
+
+  EntryService(const EntryService&) = delete;
+  EntryService& operator=(const EntryService&) = delete;
+
+  /// Serves `POST /v1/query` and `POST /v1/request`.
+  void Handle(const HttpRequest& request, HttpServer::Reply reply);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/entry/include/entry/entry_settings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+
+#include "model/ids.h"
+
+namespace jackdawrack {
+
+/// Bounds of what callers may send.
+struct EntrySettings {
+  FailureDomain m_domain;
+  /// Random number of the process; request ids begin with it.
+  std::uint64_t m_epoch = 0;
+  std::size_t m_max_idempotency_key_bytes = 128;
+  std::size_t m_max_ranges = 4096;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/entry/src/query_run.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "entry/caller_request.h"
+#include "model/contract.h"
+#include "peer/peer_router.h"
+#include "policy/fleet_view.h"
+#include "policy/query_merge.h"
+#include "policy/query_planner.h"
+#include "query_answer.h"
+
+namespace jackdawrack {
+
+/// What a query run is started with.
+struct QueryRunSpec {
+  RequestId m_request;
+  CallerQuery m_query;
+  std::shared_ptr<const Contract> m_contract;
+  std::shared_ptr<const CollectionMap> m_collection;
+  FailureDomain m_domain;
+  TimePoint m_started{};
+};
+
+/// Runs one query: pins an index version, asks the owners, merges their parts
+/// by key range, asks again elsewhere for what is missing, and answers once.
+class QueryRun final : public std::enable_shared_from_this<QueryRun> {
+ public:
+  using DoneHandler = std::function<void(QueryAnswer)>;
+
+  QueryRun(boost::asio::io_context& context,
+           PeerRouter& router,
+           const FleetViewHolder& holder,
+           QueryRunSpec spec,
+           DoneHandler on_done);
+
+  /// Sends the first calls and starts the deadline.
+  void Start();
+
+ private:
+  /// One call to one owner that may still be answered.
+  struct OpenCall {
+    Instance m_owner;
+    RangeSet m_unanswered;
+  };
+
+  void SendTo(const std::vector<KeyRange>& ranges);
+  void SendShare(const OwnerShare& share);
+  void OnAnswer(const SubAnswer& answer);
+  void OnRange(const SubAnswer& answer, const RangeAnswer& range);
+  void RetryMissed();
+  bool RestartOnOtherVersion(const SubAnswer& answer);
+  void WithdrawOpenCalls();
+  void FinishIfDone();
+  void Finish();
+
+  boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+  boost::asio::steady_timer m_deadline_timer;
+  PeerRouter& m_router;
+  const FleetViewHolder& m_holder;
+  const QueryRunSpec m_spec;
+  const TimePoint m_deadline;
+  const DoneHandler m_on_done;
+
+  QueryMerge m_merge;
+  TriedDomains m_tried;
+  std::unordered_map<std::uint32_t, OpenCall> m_open_calls;
+  std::uint32_t m_last_attempt = 0;
+  std::uint32_t m_retry_rounds = 0;
+  std::vector<KeyRange> m_to_retry;
+  bool m_was_restarted = false;
+  bool m_is_finished = false;
+};
+
+}  // namespace jackdawrack
