--- a/cmake/JackdawrackPackage.cmake
+++ b/cmake/JackdawrackPackage.cmake
@@ -15,6 +15,7 @@
 if(CCACHE_PROGRAM)
   set(CMAKE_CXX_COMPILER_LAUNCHER
       ${CMAKE_COMMAND} -E env CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+      CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=true
       ${CCACHE_PROGRAM})
   add_compile_options(-fpch-preprocess)
 endif()
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
