--- a/packages/core/tests/event_catalog_test.cpp
+++ b/packages/core/tests/event_catalog_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 std::string ReadCatalog() {
-  std::ifstream stream(std::string(JACKDAWRACK_SOURCE_DIR) + "/docs/EVENTS.md");
+  std::ifstream stream(JACKDAWRACK_SOURCE_DIR "/docs/EVENTS.md");
   std::ostringstream text;
   text << stream.rdbuf();
   return text.str();
