--- a/packages/fleet/src/config_sync.cpp
+++ b/packages/fleet/src/config_sync.cpp
@@ -115,7 +115,8 @@
     }
     m_revision = changes.m_revision;
     if (changed) {
-      m_holder.Set(std::make_shared<const FleetView>(m_store.State()));
+      m_holder.Set(
+          std::make_shared<const FleetView>(m_store.State(), *m_holder.Get()));
     }
   }
 
--- a/packages/model/include/model/collection_map.h
+++ b/packages/model/include/model/collection_map.h
@@ -34,6 +34,16 @@
     return m_upstreams;
   }
 
+  /// Failure domains that hold an upstream, sorted by name.
+  [[nodiscard]] const std::vector<FailureDomain>& Domains() const {
+    return m_domains;
+  }
+
+  /// Position in `Domains` of the domain of the upstream at this position.
+  [[nodiscard]] std::uint32_t DomainOfUpstream(std::uint32_t upstream) const {
+    return m_upstream_domains[upstream];
+  }
+
   /// Position of the shard that holds `key`.
   [[nodiscard]] std::size_t ShardAt(std::uint64_t key) const;
 
@@ -48,6 +58,8 @@
   friend bool operator==(const CollectionMap&, const CollectionMap&) = default;
 
  private:
+  void IndexDomains();
+
   CollectionName m_name;
   std::uint64_t m_revision = 0;
   std::uint64_t m_index_version = 0;
@@ -55,6 +67,8 @@
   std::size_t m_shards_per_block = 1;
   std::vector<Shard> m_shards;
   std::vector<Upstream> m_upstreams;
+  std::vector<FailureDomain> m_domains;
+  std::vector<std::uint32_t> m_upstream_domains;
 };
 
 }  // namespace jackdawrack
--- a/packages/model/src/collection_map.cpp
+++ b/packages/model/src/collection_map.cpp
@@ -131,9 +131,25 @@
       map.m_shards.begin(), map.m_shards.end(),
       [](const Shard& a, const Shard& b) { return a.m_range < b.m_range; });
   CheckTiling(file, map.m_shards, problems);
+  map.IndexDomains();
   return map;
 }
 
+void CollectionMap::IndexDomains() {
+  for (const Upstream& upstream : m_upstreams) {
+    m_domains.push_back(upstream.m_domain);
+  }
+  std::sort(m_domains.begin(), m_domains.end());
+  m_domains.erase(std::unique(m_domains.begin(), m_domains.end()),
+                  m_domains.end());
+  for (const Upstream& upstream : m_upstreams) {
+    const auto found =
+        std::lower_bound(m_domains.begin(), m_domains.end(), upstream.m_domain);
+    m_upstream_domains.push_back(
+        static_cast<std::uint32_t>(found - m_domains.begin()));
+  }
+}
+
 std::size_t CollectionMap::ShardAt(std::uint64_t key) const {
   JR_CHECK(key < kKeySpaceEnd);
   const auto after =
--- a/packages/policy/include/policy/ownership.h
+++ b/packages/policy/include/policy/ownership.h
@@ -8,6 +8,30 @@
 
 namespace jackdawrack {
 
+/// The owners of one collection's blocks, by position of the failure domain in
+/// `CollectionMap::Domains`. Valid as long as the ownership it came from.
+class CollectionOwners final {
+ public:
+  /// The owner, or null if the domain has no live instance.
+  [[nodiscard]] const Instance* OwnerOf(std::size_t block,
+                                        std::uint32_t domain) const {
+    const DomainOwners& owners = m_domains[domain];
+    return owners.m_positions == nullptr
+               ? nullptr
+               : &(*owners.m_instances)[(*owners.m_positions)[block]];
+  }
+
+ private:
+  friend class Ownership;
+
+  struct DomainOwners {
+    const std::vector<Instance>* m_instances = nullptr;
+    const std::vector<std::uint32_t>* m_positions = nullptr;
+  };
+
+  std::vector<DomainOwners> m_domains;
+};
+
 /// Which instance owns each block of shards in each failure domain.
 ///
 /// Chosen by rendezvous hash over the domain's live instances, so that one
@@ -23,6 +47,10 @@
                                         std::size_t block,
                                         const FailureDomain& domain) const;
 
+  /// The owners of one collection, for many look-ups in a row.
+  [[nodiscard]] CollectionOwners ForCollection(
+      const CollectionMap& collection) const;
+
   /// Domains that have a live instance.
   [[nodiscard]] std::vector<FailureDomain> Domains() const;
 
--- a/packages/policy/src/ownership.cpp
+++ b/packages/policy/src/ownership.cpp
@@ -76,6 +76,24 @@
   return &table->second.m_instances[owners->second[block]];
 }
 
+CollectionOwners Ownership::ForCollection(
+    const CollectionMap& collection) const {
+  CollectionOwners owners;
+  for (const FailureDomain& domain : collection.Domains()) {
+    CollectionOwners::DomainOwners& entry = owners.m_domains.emplace_back();
+    const auto table = m_domains.find(domain);
+    if (table == m_domains.end()) {
+      continue;
+    }
+    const auto positions = table->second.m_owners.find(collection.Name());
+    if (positions != table->second.m_owners.end()) {
+      entry.m_instances = &table->second.m_instances;
+      entry.m_positions = &positions->second;
+    }
+  }
+  return owners;
+}
+
 std::vector<FailureDomain> Ownership::Domains() const {
   std::vector<FailureDomain> domains;
   for (const auto& [domain, table] : m_domains) {
--- a/packages/policy/src/query_planner.cpp
+++ b/packages/policy/src/query_planner.cpp
@@ -17,50 +17,69 @@
   friend auto operator<=>(const DomainRank&, const DomainRank&) = default;
 };
 
-DomainRank RankDomain(const Upstream& replica,
-                      const KeyRange& part,
-                      const Shard& shard,
-                      const FailureDomain& own_domain,
-                      const TriedDomains& tried) {
-  DomainRank rank;
-  rank.m_tried = tried.Contains(replica.m_domain, part);
-  rank.m_is_remote = replica.m_domain != own_domain;
-  if (rank.m_is_remote) {
-    rank.m_spread =
-        MixHash(shard.m_range.m_begin, Hash64(replica.m_domain.Text()));
+// Chooses the owner to ask for each part of a collection.
+class OwnerChooser final {
+ public:
+  OwnerChooser(const FleetView& view,
+               const CollectionMap& collection,
+               const FailureDomain& own_domain,
+               const TriedDomains& tried)
+      : m_collection(collection),
+        m_owners(view.Owners().ForCollection(collection)),
+        m_own_domain(own_domain),
+        m_tried(tried) {
+    for (const FailureDomain& domain : collection.Domains()) {
+      m_domain_hashes.push_back(Hash64(domain.Text()));
+    }
   }
-  return rank;
-}
 
-// The owner to ask for `part` of a shard, or null if no replica has one.
-const Instance* ChooseOwner(const FleetView& view,
-                            const CollectionMap& collection,
-                            std::size_t shard_position,
-                            const KeyRange& part,
-                            const FailureDomain& own_domain,
-                            const TriedDomains& tried) {
-  const Shard& shard = collection.Shards()[shard_position];
-  const std::size_t block = collection.BlockOfShard(shard_position);
-  const Instance* best = nullptr;
-  DomainRank best_rank;
-  for (const std::uint32_t position : shard.m_replicas) {
-    const Upstream& replica = collection.Upstreams()[position];
-    if (replica.m_state != UpstreamState::kLive) {
-      continue;
-    }
-    const Instance* owner =
-        view.Owners().OwnerOf(collection.Name(), block, replica.m_domain);
-    if (owner == nullptr) {
-      continue;
+  // The owner for `part` of a shard, or null if no replica has one.
+  [[nodiscard]] const Instance* Choose(std::size_t shard_position,
+                                       const KeyRange& part) const {
+    const Shard& shard = m_collection.Shards()[shard_position];
+    const std::size_t block = m_collection.BlockOfShard(shard_position);
+    const Instance* best = nullptr;
+    DomainRank best_rank;
+    for (const std::uint32_t replica : shard.m_replicas) {
+      if (m_collection.Upstreams()[replica].m_state != UpstreamState::kLive) {
+        continue;
+      }
+      const std::uint32_t domain = m_collection.DomainOfUpstream(replica);
+      const Instance* owner = m_owners.OwnerOf(block, domain);
+      if (owner == nullptr) {
+        continue;
+      }
+      const DomainRank rank = Rank(domain, block, part);
+      if (best == nullptr || rank < best_rank) {
+        best = owner;
+        best_rank = rank;
+      }
     }
-    const DomainRank rank = RankDomain(replica, part, shard, own_domain, tried);
-    if (best == nullptr || rank < best_rank) {
-      best = owner;
-      best_rank = rank;
+    return best;
+  }
+
+ private:
+  // Remote domains differ by block, not by shard, so that neighbouring shards
+  // share one frame.
+  [[nodiscard]] DomainRank Rank(std::uint32_t domain,
+                                std::size_t block,
+                                const KeyRange& part) const {
+    const FailureDomain& name = m_collection.Domains()[domain];
+    DomainRank rank;
+    rank.m_tried = m_tried.Contains(name, part);
+    rank.m_is_remote = name != m_own_domain;
+    if (rank.m_is_remote) {
+      rank.m_spread = MixHash(block, m_domain_hashes[domain]);
     }
+    return rank;
   }
-  return best;
-}
+
+  const CollectionMap& m_collection;
+  const CollectionOwners m_owners;
+  const FailureDomain& m_own_domain;
+  const TriedDomains& m_tried;
+  std::vector<std::uint64_t> m_domain_hashes;
+};
 
 // Adds a range to the share of its owner.
 class PlanBuilder final {
@@ -100,6 +119,7 @@
                     const std::vector<KeyRange>& ranges,
                     const FailureDomain& own_domain,
                     const TriedDomains& tried) {
+  const OwnerChooser chooser(view, collection, own_domain, tried);
   PlanBuilder builder;
   for (const KeyRange& range : ranges) {
     JR_CHECK(range.IsValid());
@@ -112,8 +132,7 @@
       if (!part.IsValid()) {
         break;
       }
-      const Instance* owner =
-          ChooseOwner(view, collection, position, part, own_domain, tried);
+      const Instance* owner = chooser.Choose(position, part);
       if (owner == nullptr) {
         builder.LeaveOut(part);
       } else {
