--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -35,6 +35,7 @@
 EntrySettings MakeEntrySettings(const InstanceSettings& settings,
                                 std::uint64_t epoch) {
   EntrySettings entry;
+  entry.m_instance = settings.m_id;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
   return entry;
--- a/packages/entry/include/entry/entry_settings.h
+++ b/packages/entry/include/entry/entry_settings.h
@@ -8,6 +8,7 @@
 
 /// Bounds of what callers may send.
 struct EntrySettings {
+  InstanceId m_instance;
   FailureDomain m_domain;
   /// Random number of the process; request ids begin with it.
   std::uint64_t m_epoch = 0;
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "admission_table.h"
 #include "caller_codec.h"
 #include "core/event.h"
 #include "query_run.h"
@@ -26,7 +27,8 @@
         m_settings(std::move(settings)),
         m_holder(holder),
         m_router(router),
-        m_metrics(metrics) {}
+        m_metrics(metrics),
+        m_admission(m_settings.m_instance) {}
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -92,6 +94,11 @@
       Refuse(terms.error(), reply);
       return;
     }
+    const auto admitted = Admit(*terms.assume_value().m_contract);
+    if (!admitted) {
+      Refuse(admitted.error(), reply);
+      return;
+    }
     QueryRunSpec spec;
     spec.m_request = NextRequest();
     spec.m_query = std::move(query).assume_value();
@@ -102,6 +109,7 @@
     std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
                                [self = shared_from_this(), customer,
                                 reply](const QueryAnswer& answer) {
+                                 self->m_admission.Release(customer);
                                  self->CountQuery(customer, answer);
                                  reply(EncodeQueryAnswer(answer));
                                })
@@ -121,6 +129,11 @@
       return;
     }
     const Terms& found = terms.assume_value();
+    const auto admitted = Admit(*found.m_contract);
+    if (!admitted) {
+      Refuse(admitted.error(), reply);
+      return;
+    }
     RunRequest run;
     run.m_call = CallId{NextRequest(), 1};
     run.m_customer = caller.m_customer;
@@ -130,7 +143,12 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
-    SendRun(found, std::move(run), reply);
+    SendRun(found, std::move(run),
+            [self = shared_from_this(), customer = caller.m_customer,
+             reply](HttpReply answer) {
+              self->m_admission.Release(customer);
+              reply(std::move(answer));
+            });
   }
 
   // Sends the request to the owner in the failure domain of the shard's first
@@ -157,6 +175,25 @@
     });
   }
 
+  // Holds the customer to its contract; nothing has run when it refuses.
+  EntryResult<void> Admit(const Contract& contract) {
+    const auto view = m_holder.Get();
+    if (m_admission_view.exchange(view.get()) != view.get()) {
+      m_admission.SetInstances(view->State().m_instances, SteadyClock().Now());
+    }
+    switch (m_admission.Admit(contract, SteadyClock().Now())) {
+      case AdmissionVerdict::kAdmitted:
+        return boost::outcome_v2::success();
+      case AdmissionVerdict::kOverRate:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's rate_per_second");
+      case AdmissionVerdict::kOverConcurrency:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's concurrency");
+    }
+    return Refusal(EntryErrc::kOverLimit, "over the contract");
+  }
+
   void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
     m_metrics
         .CounterFor("jackdawrack_refusals",
@@ -187,6 +224,8 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  AdmissionTable m_admission;
+  std::atomic<const FleetView*> m_admission_view{nullptr};
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
--- /dev/null
+++ b/packages/policy/src/share_ledger.cpp
@@ -0,0 +1,77 @@
+#include "policy/share_ledger.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+
+namespace jackdawrack {
+
+double ShareLedger::Fraction(double base, TimePoint now) const {
+  return std::max(0.0, base - Lent(now)) + Borrowed(now);
+}
+
+double ShareLedger::Lend(const InstanceId& borrower,
+                         double wanted,
+                         double base,
+                         double in_use,
+                         TimePoint now) {
+  JR_CHECK(wanted >= 0);
+  std::erase_if(m_lent,
+                [&](const auto& loan) { return loan.second.m_ends_at <= now; });
+  const auto found = m_lent.find(borrower);
+  const double held = found == m_lent.end() ? 0 : found->second.m_fraction;
+
+  // Lend only of the base share: what is borrowed is not lent on
+  const double kept = base * m_settings.m_kept_part;
+  const double free = base - (Lent(now) - held) - std::max(in_use, kept);
+  const double granted = std::max(held, std::min(wanted, free));
+  if (granted <= 0) {
+    return 0;
+  }
+
+  // A renewal that is not covered any more keeps its old end
+  if (granted <= free) {
+    m_lent[borrower] =
+        Loan{granted, now + m_settings.m_term + m_settings.m_drift_margin};
+    return granted;
+  }
+  return 0;
+}
+
+void ShareLedger::Borrow(const InstanceId& lender,
+                         double fraction,
+                         TimePoint asked_at) {
+  if (fraction <= 0) {
+    return;
+  }
+  Loan& loan = m_borrowed[lender];
+  loan.m_fraction = fraction;
+  loan.m_ends_at = std::max(loan.m_ends_at, asked_at + m_settings.m_term);
+}
+
+double ShareLedger::Lent(TimePoint now) const {
+  return Sum(m_lent, now);
+}
+
+double ShareLedger::Borrowed(TimePoint now) const {
+  return Sum(m_borrowed, now);
+}
+
+double ShareLedger::BorrowedFrom(const InstanceId& lender,
+                                 TimePoint now) const {
+  const auto found = m_borrowed.find(lender);
+  if (found == m_borrowed.end() || found->second.m_ends_at <= now) {
+    return 0;
+  }
+  return found->second.m_fraction;
+}
+
+double ShareLedger::Sum(const Loans& loans, TimePoint now) {
+  double sum = 0;
+  for (const auto& [instance, loan] : loans) {
+    sum += loan.m_ends_at > now ? loan.m_fraction : 0;
+  }
+  return sum;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/tests/share_ledger_test.cpp
@@ -0,0 +1,172 @@
+#include "policy/share_ledger.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "policy/admission_gate.h"
+#include "policy/base_share.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr std::uint32_t kSeed = 4711;
+constexpr std::size_t kInstances = 9;
+constexpr std::uint32_t kRatePerSecond = 900;
+constexpr Milliseconds kStep{1};
+constexpr Milliseconds kExchangeInterval{100};
+constexpr Milliseconds kListLag{5000};
+
+Contract MakeContract() {
+  std::vector<IniProblem> problems;
+  Contract contract = Contract::Parse(
+      "c",
+      "[contract]\ncustomer=a\nversion=1\n[limits]\ndeadline_ms=100\n"
+      "rate_per_second=900\nconcurrency=900\n"
+      "[kind k]\ncollection=c\nidempotent=yes\n",
+      problems);
+  REQUIRE(problems.empty());
+  return contract;
+}
+
+InstanceId Name(std::size_t i) {
+  return InstanceId("i-" + std::to_string(i));
+}
+
+// A fleet whose instances lend to each other over links that lose messages.
+class LendingFleet {
+ public:
+  explicit LendingFleet(double loss) : m_loss(loss), m_members(kInstances) {}
+
+  // Offers `per_second[i]` requests to each instance for a second and returns
+  // how many were admitted.
+  std::uint32_t RunSecond(const std::vector<double>& per_second) {
+    std::uint32_t admitted = 0;
+    std::vector<double> due(kInstances, 0);
+    for (int step = 0; step < 1000; ++step) {
+      m_clock.Advance(kStep);
+      for (std::size_t i = 0; i < kInstances; ++i) {
+        due[i] += per_second[i] / 1000;
+        for (; due[i] >= 1; due[i] -= 1) {
+          admitted += Offer(i) ? 1 : 0;
+        }
+      }
+      if (step % kExchangeInterval.count() == 0) {
+        Exchange();
+      }
+    }
+    return admitted;
+  }
+
+  [[nodiscard]] double SumOfFractions() const {
+    double sum = 0;
+    for (const Member& member : m_members) {
+      sum += member.m_ledger.Fraction(1.0 / kInstances, m_clock.Now());
+    }
+    return sum;
+  }
+
+ private:
+  struct Member {
+    ShareLedger m_ledger{LoanSettings()};
+    AdmissionGate m_gate;
+  };
+
+  bool Offer(std::size_t i) {
+    Member& member = m_members[i];
+    const double fraction =
+        member.m_ledger.Fraction(1.0 / kInstances, m_clock.Now());
+    if (member.m_gate.Admit(m_contract, fraction, m_clock.Now()) !=
+        AdmissionVerdict::kAdmitted) {
+      return false;
+    }
+    member.m_gate.Release();
+    return true;
+  }
+
+  void Exchange() {
+    const TimePoint now = m_clock.Now();
+    for (std::size_t b = 0; b < kInstances; ++b) {
+      const double demand = m_members[b].m_gate.DemandFraction(m_contract, now);
+      const double needed = demand - 1.0 / kInstances;
+      for (std::size_t l = 0; l < kInstances && needed > 0; ++l) {
+        if (l == b || IsLost()) {
+          continue;
+        }
+        const double granted = m_members[l].m_ledger.Lend(
+            Name(b), needed, 1.0 / kInstances,
+            m_members[l].m_gate.UsedFraction(m_contract, now), now);
+        if (!IsLost()) {
+          m_members[b].m_ledger.Borrow(Name(l), granted, now);
+        }
+      }
+    }
+    REQUIRE(SumOfFractions() <= 1.0 + 1e-9);
+  }
+
+  bool IsLost() {
+    return std::uniform_real_distribution<>(0, 1)(m_random) < m_loss;
+  }
+
+  const double m_loss;
+  std::mt19937 m_random{kSeed};
+  ManualClock m_clock;
+  const Contract m_contract = MakeContract();
+  std::vector<Member> m_members;
+};
+
+TEST_CASE("a skewed customer can use nine tenths of its contract") {
+  INFO("seed " << kSeed);
+  LendingFleet fleet(0.05);
+  std::vector<double> offered(kInstances, 0);
+  offered[0] = 2 * kRatePerSecond;
+  fleet.RunSecond(offered);
+  fleet.RunSecond(offered);
+  const std::uint32_t admitted = fleet.RunSecond(offered);
+  REQUIRE(admitted >= 0.9 * kRatePerSecond);
+  REQUIRE(admitted <= 1.05 * kRatePerSecond);
+}
+
+TEST_CASE("a contract is not exceeded while the skew moves and messages drop") {
+  INFO("seed " << kSeed);
+  LendingFleet fleet(0.3);
+  for (std::size_t second = 0; second < 20; ++second) {
+    std::vector<double> offered(kInstances, 50);
+    offered[second % kInstances] = 3 * kRatePerSecond;
+    const std::uint32_t admitted = fleet.RunSecond(offered);
+    REQUIRE(admitted <= 1.05 * kRatePerSecond);
+  }
+}
+
+TEST_CASE("a lender gets its share back once loans are not renewed") {
+  ManualClock clock;
+  ShareLedger lender{LoanSettings()};
+  REQUIRE(lender.Lend(Name(1), 1.0, 0.1, 0, clock.Now()) > 0.09);
+  REQUIRE(lender.Fraction(0.1, clock.Now()) < 0.01);
+  clock.Advance(Milliseconds(2300));
+  REQUIRE(lender.Fraction(0.1, clock.Now()) == Approx(0.1));
+}
+
+TEST_CASE("a new instance uses its part only once peers count it") {
+  ManualClock clock;
+  BaseShare share(kListLag);
+  share.SetList(kInstances, true, clock.Now());
+  REQUIRE(share.Fraction(clock.Now()) == 0);
+  for (std::size_t peer = 1; peer <= 3; ++peer) {
+    share.ConfirmedBy(Name(peer));
+  }
+  REQUIRE(share.Fraction(clock.Now()) == Approx(1.0 / kInstances));
+}
+
+TEST_CASE("a shorter list raises the part only after the list lag") {
+  ManualClock clock;
+  BaseShare share(kListLag);
+  share.SetList(3, true, clock.Now());
+  clock.Advance(kListLag);
+  share.SetList(2, true, clock.Now());
+  REQUIRE(share.Fraction(clock.Now()) == Approx(1.0 / 3));
+  clock.Advance(kListLag + Milliseconds(1));
+  REQUIRE(share.Fraction(clock.Now()) == Approx(1.0 / 2));
+}
+
+}  // namespace
+}  // namespace jackdawrack
