Hold contracts fleet-wide: shares follow demand by loans between instances

Each instance has a static part of every contract; one that needs more borrows from peers that need less. A lender goes without before the borrower begins and until after it ends, so parts never sum over one, however stale either's knowledge.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -74,7 +74,12 @@
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
                     m_entry.Handle(request, std::move(reply));
                   }),
-        m_operator_api(m_settings, m_holder, m_metrics, m_config, m_stopping),
+        m_operator_api(m_settings,
+                       m_holder,
+                       m_metrics,
+                       m_config,
+                       m_entry,
+                       m_stopping),
         m_operators(
             m_workers.Context(),
             MakeServerSettings(m_settings, m_settings.m_operators),
@@ -92,6 +97,7 @@
       }
     }
     m_config.Start();
+    m_entry.Start();
     m_workers.Start();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
@@ -123,6 +129,11 @@
                               const PeerService::ControlSink& sink) {
       sink({});
     };
+    service.m_on_share_ask = [this](const Hello& caller,
+                                    const std::vector<ShareWish>& wishes,
+                                    const PeerService::ShareSink& sink) {
+      sink(m_entry.Lend(caller.m_instance, wishes));
+    };
     return service;
   }
 
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include "core/metrics.h"
+#include "entry/entry_service.h"
 #include "fleet/config_sync.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
@@ -19,6 +20,7 @@
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
               const ConfigSync& config,
+              const EntryService& entry,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
@@ -33,6 +35,7 @@
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
   const ConfigSync& m_config;
+  const EntryService& m_entry;
   const std::atomic<bool>& m_stopping;
 };
 
--- a/packages/entry/include/entry/entry_service.h
+++ b/packages/entry/include/entry/entry_service.h
@@ -28,6 +28,17 @@
   /// Serves `POST /v1/query` and `POST /v1/request`.
   void Handle(const HttpRequest& request, HttpServer::Reply reply);
 
+  /// Starts to borrow parts of contracts from peers.
+  void Start();
+
+  /// True when requests can be admitted here, or when it has been waited for
+  /// long enough that peers confirm this instance.
+  [[nodiscard]] bool IsReady() const;
+
+  /// Lends parts of contracts to a peer.
+  [[nodiscard]] ShareGrants Lend(const InstanceId& borrower,
+                                 const std::vector<ShareWish>& wishes);
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/entry/src/admission_table.cpp
+++ b/packages/entry/src/admission_table.cpp
@@ -27,6 +27,11 @@
   m_base.SetList(instances.size(), is_listed, now);
 }
 
+bool AdmissionTable::IsBaseUsable(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  return m_base.Fraction(now) > 0;
+}
+
 AdmissionVerdict AdmissionTable::Admit(const Contract& contract,
                                        TimePoint now) {
   const std::lock_guard lock(m_mutex);
--- a/packages/entry/src/admission_table.h
+++ b/packages/entry/src/admission_table.h
@@ -6,8 +6,8 @@
 
 #include "core/clock.h"
 #include "core/ranked_mutex.h"
-#include "entry/share_message.h"
 #include "model/fleet_state.h"
+#include "peer/share_message.h"
 #include "policy/admission_gate.h"
 #include "policy/base_share.h"
 #include "policy/share_ledger.h"
@@ -23,6 +23,9 @@
   /// Notes the instance list in use.
   void SetInstances(const std::vector<Instance>& instances, TimePoint now);
 
+  /// True when this instance may use its own part of the contracts.
+  [[nodiscard]] bool IsBaseUsable(TimePoint now);
+
   /// Decides on one request; an admitted one has to be released.
   AdmissionVerdict Admit(const Contract& contract, TimePoint now);
 
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -6,10 +6,14 @@
 #include "caller_codec.h"
 #include "core/event.h"
 #include "query_run.h"
+#include "share_borrower.h"
 
 namespace jackdawrack {
 namespace {
 
+/// Longest time that readiness waits for this instance's part of contracts.
+constexpr Milliseconds kShareWait{6000};
+
 EntryError Refusal(EntryErrc code, std::string message) {
   return MakeError(code, std::move(message));
 }
@@ -28,7 +32,26 @@
         m_holder(holder),
         m_router(router),
         m_metrics(metrics),
-        m_admission(m_settings.m_instance) {}
+        m_admission(m_settings.m_instance),
+        m_borrower(std::make_shared<ShareBorrower>(context,
+                                                   m_settings.m_instance,
+                                                   m_settings.m_domain,
+                                                   holder,
+                                                   router,
+                                                   m_admission)) {}
+
+  void Start() { m_borrower->Start(); }
+
+  bool IsReady() {
+    const TimePoint now = SteadyClock().Now();
+    return m_admission.IsBaseUsable(now) || now - m_created_at > kShareWait;
+  }
+
+  ShareGrants Lend(const InstanceId& borrower,
+                   const std::vector<ShareWish>& wishes) {
+    return m_admission.Lend(borrower, wishes, m_holder.Get()->State(),
+                            SteadyClock().Now());
+  }
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -177,10 +200,6 @@
 
   // Holds the customer to its contract; nothing has run when it refuses.
   EntryResult<void> Admit(const Contract& contract) {
-    const auto view = m_holder.Get();
-    if (m_admission_view.exchange(view.get()) != view.get()) {
-      m_admission.SetInstances(view->State().m_instances, SteadyClock().Now());
-    }
     switch (m_admission.Admit(contract, SteadyClock().Now())) {
       case AdmissionVerdict::kAdmitted:
         return boost::outcome_v2::success();
@@ -224,8 +243,9 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  const TimePoint m_created_at = SteadyClock().Now();
   AdmissionTable m_admission;
-  std::atomic<const FleetView*> m_admission_view{nullptr};
+  std::shared_ptr<ShareBorrower> m_borrower;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -246,4 +266,17 @@
   m_impl->Handle(request, std::move(reply));
 }
 
+void EntryService::Start() {
+  m_impl->Start();
+}
+
+bool EntryService::IsReady() const {
+  return m_impl->IsReady();
+}
+
+ShareGrants EntryService::Lend(const InstanceId& borrower,
+                               const std::vector<ShareWish>& wishes) {
+  return m_impl->Lend(borrower, wishes);
+}
+
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/messages.h
+++ b/packages/peer/include/peer/messages.h
@@ -9,6 +9,7 @@
 #include "model/key_range.h"
 #include "model/outcome.h"
 #include "peer/call_id.h"
+#include "peer/share_message.h"
 
 namespace jackdawrack {
 
@@ -163,6 +164,30 @@
   friend bool operator==(const ControlReply&, const ControlReply&) = default;
 };
 
+/// Asks a peer for parts of contracts.
+struct ShareAsk {
+  std::uint64_t m_number = 0;
+  std::vector<ShareWish> m_wishes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_wishes);
+  }
+  friend bool operator==(const ShareAsk&, const ShareAsk&) = default;
+};
+
+/// The answer to the share ask of the same number.
+struct ShareReply {
+  std::uint64_t m_number = 0;
+  ShareGrants m_grants;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_grants);
+  }
+  friend bool operator==(const ShareReply&, const ShareReply&) = default;
+};
+
 /// Any frame between instances.
 using PeerFrame = std::variant<Hello,
                                Heartbeat,
@@ -172,6 +197,8 @@
                                RunRequest,
                                RunAnswer,
                                ControlCall,
-                               ControlReply>;
+                               ControlReply,
+                               ShareAsk,
+                               ShareReply>;
 
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/peer_client.h
+++ b/packages/peer/include/peer/peer_client.h
@@ -37,6 +37,9 @@
   /// Sends a JSON-RPC call.
   void Call(std::string text, ControlSink sink);
 
+  /// Asks for parts of contracts; the sink is not called if no reply comes.
+  void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink);
+
   /// Closes the connection; waiting calls fail.
   void Close();
 
--- a/packages/peer/include/peer/peer_router.h
+++ b/packages/peer/include/peer/peer_router.h
@@ -33,6 +33,12 @@
             std::string text,
             PeerService::ControlSink sink);
 
+  /// Asks a peer for parts of contracts; the sink is not called if no reply
+  /// comes.
+  void Ask(const Instance& target,
+           std::vector<ShareWish> wishes,
+           PeerService::ShareSink sink);
+
   /// Closes every connection.
   void Close();
 
--- a/packages/peer/include/peer/peer_service.h
+++ b/packages/peer/include/peer/peer_service.h
@@ -12,6 +12,7 @@
   using SubAnswerSink = std::function<void(SubAnswer)>;
   using RunAnswerSink = std::function<void(RunAnswer)>;
   using ControlSink = std::function<void(std::string)>;
+  using ShareSink = std::function<void(ShareGrants)>;
 
   /// Answers with one or more parts, the last one marked.
   std::function<void(SubQuery, SubAnswerSink)> m_on_sub_query;
@@ -19,6 +20,8 @@
   std::function<void(RunRequest, RunAnswerSink)> m_on_run_request;
   /// Answers a JSON-RPC text; the first argument is the caller.
   std::function<void(Hello, std::string, ControlSink)> m_on_control;
+  /// Lends parts of contracts to the caller.
+  std::function<void(Hello, std::vector<ShareWish>, ShareSink)> m_on_share_ask;
 };
 
 }  // namespace jackdawrack
--- a/packages/entry/include/entry/share_message.h
+++ b/packages/peer/include/peer/share_message.h
@@ -12,6 +12,10 @@
   /// From 0 to 1 of the whole contract.
   double m_fraction = 0;
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_customer, m_fraction);
+  }
   friend bool operator==(const ShareWish&, const ShareWish&) = default;
 };
 
@@ -21,6 +25,10 @@
   bool m_counts_borrower = false;
   std::vector<ShareWish> m_grants;
 
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_counts_borrower, m_grants);
+  }
   friend bool operator==(const ShareGrants&, const ShareGrants&) = default;
 };
 
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -83,6 +83,13 @@
     });
   }
 
+  void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), wishes = std::move(wishes),
+                          sink = std::move(sink)]() mutable {
+      self->SendShareAsk(std::move(wishes), std::move(sink));
+    });
+  }
+
   void Close() {
     asio::post(m_strand, [self = shared_from_this()] {
       self->m_closed = true;
@@ -152,6 +159,21 @@
     }
   }
 
+  // Drops the ask while the peer is unreachable; asks are repeated often.
+  void SendShareAsk(std::vector<ShareWish> wishes,
+                    PeerService::ShareSink sink) {
+    if (!PrepareCall()) {
+      return;
+    }
+    ShareAsk ask{++m_last_share_ask, std::move(wishes)};
+    m_share_asks.emplace(ask.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(ask);
+    } else {
+      m_unsent_share_asks.push_back(std::move(ask));
+    }
+  }
+
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
     if (m_closed || SteadyClock().Now() < m_no_connect_before) {
@@ -253,6 +275,8 @@
     const auto runs = std::exchange(m_runs, {});
     const auto controls = std::exchange(m_controls, {});
     m_unsent_controls.clear();
+    m_share_asks.clear();
+    m_unsent_share_asks.clear();
     for (const auto& [call, waiting] : queries) {
       waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
     }
@@ -289,6 +313,10 @@
       m_connection->Send(control);
     }
     m_unsent_controls.clear();
+    for (const ShareAsk& ask : m_unsent_share_asks) {
+      m_connection->Send(ask);
+    }
+    m_unsent_share_asks.clear();
   }
 
   void On(Heartbeat heartbeat) {
@@ -331,11 +359,22 @@
     sink(std::move(reply.m_text));
   }
 
+  void On(ShareReply reply) {
+    const auto found = m_share_asks.find(reply.m_number);
+    if (found == m_share_asks.end()) {
+      return;
+    }
+    const PeerService::ShareSink sink = std::move(found->second);
+    m_share_asks.erase(found);
+    sink(std::move(reply.m_grants));
+  }
+
   // Calls do not arrive on a dialled connection.
   void On(const SubQuery&) { Drop(); }
   void On(const jackdawrack::Cancel&) { Drop(); }
   void On(const RunRequest&) { Drop(); }
   void On(const ControlCall&) { Drop(); }
+  void On(const ShareAsk&) { Drop(); }
 
   const Instance m_target;
   const Hello m_self;
@@ -358,6 +397,9 @@
   std::unordered_map<std::uint64_t, ControlSink> m_controls;
   std::vector<ControlCall> m_unsent_controls;
   std::uint64_t m_last_control = 0;
+  std::unordered_map<std::uint64_t, PeerService::ShareSink> m_share_asks;
+  std::vector<ShareAsk> m_unsent_share_asks;
+  std::uint64_t m_last_share_ask = 0;
 };
 
 PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
@@ -385,6 +427,11 @@
   m_impl->Call(std::move(text), std::move(sink));
 }
 
+void PeerClient::Ask(std::vector<ShareWish> wishes,
+                     PeerService::ShareSink sink) {
+  m_impl->Ask(std::move(wishes), std::move(sink));
+}
+
 void PeerClient::Close() {
   m_impl->Close();
 }
--- a/packages/peer/src/peer_router.cpp
+++ b/packages/peer/src/peer_router.cpp
@@ -47,6 +47,12 @@
   ClientFor(target)->Call(std::move(text), std::move(sink));
 }
 
+void PeerRouter::Ask(const Instance& target,
+                     std::vector<ShareWish> wishes,
+                     PeerService::ShareSink sink) {
+  ClientFor(target)->Ask(std::move(wishes), std::move(sink));
+}
+
 void PeerRouter::Close() {
   const std::lock_guard lock(m_mutex);
   m_clients.clear();
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -69,10 +69,19 @@
                            });
   }
 
+  void On(ShareAsk ask) {
+    auto sink = MakeSink<ShareReply>();
+    m_service.m_on_share_ask(m_peer, std::move(ask.m_wishes),
+                             [sink, number = ask.m_number](ShareGrants grants) {
+                               sink(ShareReply{number, std::move(grants)});
+                             });
+  }
+
   // Replies do not arrive on an accepted connection.
   void On(const SubAnswer&) { m_connection->Close(); }
   void On(const RunAnswer&) { m_connection->Close(); }
   void On(const ControlReply&) { m_connection->Close(); }
+  void On(const ShareReply&) { m_connection->Close(); }
 
   template <typename Message>
   std::function<void(Message)> MakeSink() {
