Spread configuration and membership between instances

Every instance watched the platform, which breaks its 2,000 calls/s at the target size, and nothing told peers of a change or of a leaver. Now three watchers a domain read it; a tree push, digest anti-entropy and SWIM-like probing carry changes and notices, decided by ControlPolicy on the paused clock and run by ControlService over JSON-RPC control calls.

Ruled out: forwarding every copy along three trees (three times the bytes), ranking the instance list by the platform's revision alone (a restored backup would stall it until the count catches up; a generation ranks above it now).

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -8,7 +8,7 @@
 #include "core/random.h"
 #include "core/worker_pool.h"
 #include "entry/entry_service.h"
-#include "fleet/config_sync.h"
+#include "fleet/control_service.h"
 #include "net/http_server.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
@@ -56,9 +56,13 @@
       : m_settings(std::move(settings)),
         m_hello(MakeHello(m_settings)),
         m_workers(m_settings.m_worker_threads),
-        m_config(m_workers.Context(), m_settings, m_holder),
         m_owner(m_workers.Context(), m_settings.m_domain, m_holder, m_metrics),
         m_router(m_workers.Context(), m_hello, MakeService()),
+        m_control(m_workers.Context(),
+                  m_settings,
+                  m_router,
+                  m_holder,
+                  m_metrics),
         m_entry(m_workers.Context(),
                 MakeEntrySettings(m_settings, m_hello.m_epoch),
                 m_holder,
@@ -73,7 +77,7 @@
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
                     m_entry.Handle(request, std::move(reply));
                   }),
-        m_operator_api(m_settings, m_holder, m_metrics, m_config, m_stopping),
+        m_operator_api(m_settings, m_holder, m_metrics, m_control, m_stopping),
         m_operators(
             m_workers.Context(),
             MakeServerSettings(m_settings, m_settings.m_operators),
@@ -90,7 +94,7 @@
         return start;
       }
     }
-    m_config.Start();
+    m_control.Start();
     m_workers.Start();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
@@ -118,9 +122,10 @@
                                       PeerService::RunAnswerSink sink) {
       m_owner.OnRunRequest(std::move(request), std::move(sink));
     };
-    service.m_on_control = [](const Hello&, const std::string&,
-                              const PeerService::ControlSink& sink) {
-      sink({});
+    service.m_on_control = [this](Hello caller, std::string request,
+                                  PeerService::ControlSink sink) {
+      m_control.OnControl(std::move(caller), std::move(request),
+                          std::move(sink));
     };
     return service;
   }
@@ -131,6 +136,7 @@
 
     // Fail readiness and go on serving until the balancer has noticed
     m_stopping = true;
+    m_control.AnnounceLeaving();
     std::this_thread::sleep_for(Milliseconds(m_settings.m_balancer_lag_ms));
 
     // Take what waits in the accept queue and finish what runs
@@ -151,9 +157,9 @@
   MetricsRegistry m_metrics;
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
-  ConfigSync m_config;
   OwnerService m_owner;
   PeerRouter m_router;
+  ControlService m_control;
   EntryService m_entry;
   PeerServer m_peer_server;
   HttpServer m_callers;
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -1,5 +1,7 @@
 #include "operator_api.h"
 
+#include <fmt/format.h>
+
 #include <boost/json.hpp>
 
 namespace jackdawrack {
@@ -23,17 +25,63 @@
   return reply;
 }
 
+const char* StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kUnreachable:
+      return "unreachable";
+    case MemberState::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+json::object ConfigJson(const ControlStatus& status) {
+  json::array values;
+  for (const ValueStatus& value : status.m_values) {
+    values.push_back(json::object{
+        {"name", value.m_digest.m_name},
+        {"version", value.m_digest.m_rank.m_version},
+        {"hash", fmt::format("{:016x}", value.m_digest.m_rank.m_text_hash)},
+        {"platform_revision", value.m_platform_revision},
+        {"generation", value.m_generation},
+        {"conflict", value.m_has_conflict},
+    });
+  }
+  return json::object{
+      {"watcher", status.m_is_watcher},
+      {"joined", status.m_is_joined},
+      {"hash", fmt::format("{:016x}", status.m_root_hash)},
+      {"values", std::move(values)},
+  };
+}
+
+json::array MembershipJson(const ControlStatus& status) {
+  json::array members;
+  for (const MemberNotice& member : status.m_members) {
+    members.push_back(json::object{
+        {"id", member.m_instance.Text()},
+        {"state", StateName(member.m_state)},
+        {"incarnation", member.m_incarnation},
+    });
+  }
+  return members;
+}
+
 }  // namespace
 
 OperatorApi::OperatorApi(const InstanceSettings& settings,
                          const FleetViewHolder& holder,
                          MetricsRegistry& metrics,
-                         const ConfigSync& config,
+                         const ControlService& control,
                          const std::atomic<bool>& stopping)
     : m_settings(settings),
       m_holder(holder),
       m_metrics(metrics),
-      m_config(config),
+      m_control(control),
       m_stopping(stopping) {}
 
 HttpReply OperatorApi::Handle(const HttpRequest& request) {
@@ -59,7 +107,7 @@
 }
 
 bool OperatorApi::IsReady() const {
-  return !m_stopping && m_config.IsSynced();
+  return !m_stopping && m_control.IsSynced();
 }
 
 HttpReply OperatorApi::Status() const {
@@ -89,7 +137,10 @@
       {"version", JACKDAWRACK_VERSION},
       {"ready", IsReady()},
       {"stopping", m_stopping.load()},
-      {"config_age_ms", m_config.Age().count()},
+      {"config_age_ms", m_control.Age().count()},
+      {"last_exchange_ms", m_control.SinceExchange().count()},
+      {"config", ConfigJson(*m_control.Status())},
+      {"membership", MembershipJson(*m_control.Status())},
       {"collections", std::move(collections)},
       {"instances", std::move(instances)},
   });
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -3,7 +3,7 @@
 #include <atomic>
 
 #include "core/metrics.h"
-#include "fleet/config_sync.h"
+#include "fleet/control_service.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
 #include "policy/fleet_view.h"
@@ -18,7 +18,7 @@
   OperatorApi(const InstanceSettings& settings,
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
-              const ConfigSync& config,
+              const ControlService& control,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
@@ -32,7 +32,7 @@
   const InstanceSettings& m_settings;
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
-  const ConfigSync& m_config;
+  const ControlService& m_control;
   const std::atomic<bool>& m_stopping;
 };
 
--- /dev/null
+++ b/packages/fleet/src/config_events.cpp
@@ -0,0 +1,44 @@
+#include "config_events.h"
+
+#include "core/event.h"
+
+namespace jackdawrack {
+namespace {
+
+bool IsContract(const std::string& name) {
+  return name.starts_with("contracts/");
+}
+
+EventId RefusalEvent(const std::string& name) {
+  if (IsContract(name)) {
+    return EventId::kContractRefused;
+  }
+  return name == "instances" ? EventId::kInstanceListRefused
+                             : EventId::kMapRefused;
+}
+
+EventId AppliedEvent(const std::string& name) {
+  if (IsContract(name)) {
+    return EventId::kContractApplied;
+  }
+  return name == "instances" ? EventId::kInstanceListApplied
+                             : EventId::kMapApplied;
+}
+
+}  // namespace
+
+void LogConfigNews(const ConfigNews& news) {
+  const PublishedValue& value = news.m_value;
+  if (news.m_is_conflict) {
+    LogEvent(EventId::kContractConflict, "name={}", value.m_name);
+  }
+  if (news.m_verdict == ConfigVerdict::kRefused) {
+    LogEvent(RefusalEvent(value.m_name), "{}", JoinProblems(news.m_problems));
+  }
+  if (news.m_verdict == ConfigVerdict::kApplied) {
+    LogEvent(AppliedEvent(value.m_name), "name={} revision={} generation={}",
+             value.m_name, value.m_revision, value.m_generation);
+  }
+}
+
+}  // namespace jackdawrack
--- a/packages/policy/include/policy/config_store.h
+++ b/packages/policy/include/policy/config_store.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,21 @@
   friend bool operator==(const ConfigRank&, const ConfigRank&) = default;
 };
 
+/// Name and rank of one value, by which two instances find what differs.
+struct ValueDigest {
+  std::string m_name;
+  ConfigRank m_rank;
+
+  friend auto operator<=>(const ValueDigest&, const ValueDigest&) = default;
+  friend bool operator==(const ValueDigest&, const ValueDigest&) = default;
+};
+
+/// Number of groups that the names are hashed into for comparison.
+inline constexpr std::size_t kDigestBuckets = 256;
+
+/// One hash for each group of names; equal stores have equal hashes.
+using BucketHashes = std::array<std::uint32_t, kDigestBuckets>;
+
 /// Merges published values by a total order, so that every instance ends with
 /// the same ones whatever the order of arrival, and none ever reverts.
 class ConfigStore final {
@@ -47,6 +64,27 @@
   /// The texts in force, for peers.
   [[nodiscard]] std::vector<PublishedValue> Values() const;
 
+  /// The text in force under this name, or null.
+  [[nodiscard]] const PublishedValue* Find(const std::string& name) const;
+
+  /// The rank of the value in force, or nothing.
+  [[nodiscard]] std::optional<ConfigRank> RankOf(const std::string& name) const;
+
+  // Comparison with another store
+
+  /// One hash over all names and ranks.
+  [[nodiscard]] std::uint64_t RootHash() const;
+
+  /// Hashes of the groups of names.
+  [[nodiscard]] BucketHashes Buckets() const;
+
+  /// Digests of all values, sorted by name.
+  [[nodiscard]] std::vector<ValueDigest> Digests() const;
+
+  /// Digests of the values in the groups marked true.
+  [[nodiscard]] std::vector<ValueDigest> DigestsIn(
+      const std::vector<bool>& buckets) const;
+
   /// True when two texts of one version were seen for this name.
   [[nodiscard]] bool HasConflict(const std::string& name) const;
 
@@ -69,6 +107,10 @@
 
   FleetState m_state;
   std::map<std::string, Held> m_held;
+  std::array<std::uint64_t, kDigestBuckets> m_buckets{};
 };
 
+/// The group that a name belongs to.
+[[nodiscard]] std::size_t BucketOf(const std::string& name);
+
 }  // namespace jackdawrack
--- a/packages/policy/include/policy/fleet_view.h
+++ b/packages/policy/include/policy/fleet_view.h
@@ -12,14 +12,29 @@
 class FleetView final {
  public:
   explicit FleetView(FleetState state)
-      : m_state(std::move(state)), m_ownership(Ownership::Build(m_state)) {}
+      : m_state(std::move(state)),
+        m_ownership(
+            std::make_shared<const Ownership>(Ownership::Build(m_state))) {}
+
+  /// Takes over the ownership of `previous` if neither the instances nor the
+  /// maps changed since.
+  FleetView(FleetState state, const FleetView& previous)
+      : m_state(std::move(state)),
+        m_ownership(HasSameOwners(m_state, previous.m_state)
+                        ? previous.m_ownership
+                        : std::make_shared<const Ownership>(
+                              Ownership::Build(m_state))) {}
 
   [[nodiscard]] const FleetState& State() const { return m_state; }
-  [[nodiscard]] const Ownership& Owners() const { return m_ownership; }
+  [[nodiscard]] const Ownership& Owners() const { return *m_ownership; }
 
  private:
+  static bool HasSameOwners(const FleetState& a, const FleetState& b) {
+    return a.m_instances == b.m_instances && a.m_collections == b.m_collections;
+  }
+
   const FleetState m_state;
-  const Ownership m_ownership;
+  const std::shared_ptr<const Ownership> m_ownership;
 };
 
 /// Holds the current view; readers keep the one they took for a whole request.
--- a/packages/policy/src/config_store.cpp
+++ b/packages/policy/src/config_store.cpp
@@ -13,8 +13,24 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+// Bits of a list's version that hold the service's revision; its generation
+// stands above them.
+constexpr unsigned kRevisionBits = 48;
+
+std::uint64_t ListVersion(const PublishedValue& value) {
+  return (value.m_generation << kRevisionBits) | value.m_revision;
+}
+
+std::uint64_t HashOf(const std::string& name, const ConfigRank& rank) {
+  return MixHash(Hash64(name), MixHash(rank.m_version, rank.m_text_hash));
+}
+
 }  // namespace
 
+std::size_t BucketOf(const std::string& name) {
+  return Hash64(name) % kDigestBuckets;
+}
+
 ConfigVerdict ConfigStore::Offer(const PublishedValue& value,
                                  std::vector<IniProblem>& problems) {
   if (StartsWith(value.m_name, kContractPrefix)) {
@@ -78,7 +94,7 @@
     problems.insert(problems.end(), found.begin(), found.end());
     return ConfigVerdict::kRefused;
   }
-  if (!Advance(value, value.m_revision)) {
+  if (!Advance(value, ListVersion(value))) {
     return ConfigVerdict::kKept;
   }
   m_state.m_instances = std::move(instances);
@@ -100,6 +116,11 @@
   if (version > held.m_rank.m_version) {
     held.m_conflict = false;
   }
+  std::uint64_t& bucket = m_buckets[BucketOf(value.m_name)];
+  if (!held.m_value.m_name.empty()) {
+    bucket ^= HashOf(value.m_name, held.m_rank);
+  }
+  bucket ^= HashOf(value.m_name, rank);
   held.m_rank = rank;
   held.m_value = value;
   return true;
@@ -113,6 +134,50 @@
   return values;
 }
 
+const PublishedValue* ConfigStore::Find(const std::string& name) const {
+  const auto found = m_held.find(name);
+  return found == m_held.end() ? nullptr : &found->second.m_value;
+}
+
+std::optional<ConfigRank> ConfigStore::RankOf(const std::string& name) const {
+  const auto found = m_held.find(name);
+  if (found == m_held.end()) {
+    return std::nullopt;
+  }
+  return found->second.m_rank;
+}
+
+std::uint64_t ConfigStore::RootHash() const {
+  std::uint64_t root = 0;
+  for (const std::uint64_t bucket : m_buckets) {
+    root = MixHash(root, bucket);
+  }
+  return root;
+}
+
+BucketHashes ConfigStore::Buckets() const {
+  BucketHashes hashes{};
+  for (std::size_t i = 0; i < kDigestBuckets; ++i) {
+    hashes[i] = static_cast<std::uint32_t>(m_buckets[i]);
+  }
+  return hashes;
+}
+
+std::vector<ValueDigest> ConfigStore::Digests() const {
+  return DigestsIn(std::vector<bool>(kDigestBuckets, true));
+}
+
+std::vector<ValueDigest> ConfigStore::DigestsIn(
+    const std::vector<bool>& buckets) const {
+  std::vector<ValueDigest> digests;
+  for (const auto& [name, held] : m_held) {
+    if (buckets[BucketOf(name)]) {
+      digests.push_back(ValueDigest{name, held.m_rank});
+    }
+  }
+  return digests;
+}
+
 bool ConfigStore::HasConflict(const std::string& name) const {
   const auto found = m_held.find(name);
   return found != m_held.end() && found->second.m_conflict;
--- /dev/null
+++ b/packages/policy/src/control_exchange.cpp
@@ -0,0 +1,257 @@
+#include <algorithm>
+
+#include "control_timing.h"
+#include "policy/config_exchange.h"
+#include "policy/control_policy.h"
+#include "policy/spread_plan.h"
+
+namespace jackdawrack {
+
+ControlMessage ControlPolicy::OnRequest(const InstanceId& from,
+                                        const FailureDomain& from_domain,
+                                        const ControlMessage& message,
+                                        TimePoint now) {
+  std::vector<MemberNotice> news;
+  Hear(from_domain, message, news, now);
+  if (!message.m_values.empty() || !message.m_tree_root.IsEmpty()) {
+    OnPushed(from_domain, message, std::move(news), now);
+  }
+  RefreshView();
+
+  // Probe what the caller could not reach
+  if (!message.m_probe_target.IsEmpty()) {
+    if (const Instance* target = FindInstance(message.m_probe_target)) {
+      Probe(Instance(*target), from, now);
+    }
+  }
+
+  // Answer
+  ControlMessage reply;
+  reply.m_kind = message.m_kind;
+  Stamp(reply, from, from_domain, now);
+  if (message.m_kind == ControlKind::kProbe &&
+      message.m_root_hash != reply.m_root_hash) {
+    AddBuckets(m_store, reply);
+  }
+  if (message.m_kind == ControlKind::kCompare) {
+    AnswerComparison(m_store, message, reply);
+  }
+  return reply;
+}
+
+void ControlPolicy::OnReply(std::uint64_t token,
+                            const std::optional<ControlMessage>& reply,
+                            TimePoint now) {
+  const auto found = m_pending.find(token);
+  if (found == m_pending.end()) {
+    return;
+  }
+  const Pending pending = found->second;
+  m_pending.erase(found);
+  if (reply) {
+    OnAnswer(pending, *reply, now);
+  } else {
+    OnCallFailed(pending, now);
+  }
+  RefreshView();
+}
+
+void ControlPolicy::OnAnswer(const Pending& pending,
+                             const ControlMessage& reply,
+                             TimePoint now) {
+  const Instance& peer = pending.m_target;
+  std::vector<MemberNotice> news;
+  Hear(peer.m_domain, reply, news, now);
+
+  // Take what the peer has newer; tell the domain what came from outside
+  const std::vector<PublishedValue> applied = Offer(reply.m_values);
+  RefreshView();
+  if (m_joined && peer.m_domain != m_settings.m_domain) {
+    PushFromHere(applied, now);
+  }
+
+  // Give what the peer lacks
+  if (!reply.m_wanted.empty()) {
+    ControlMessage message;
+    message.m_kind = ControlKind::kValues;
+    AddValues(m_store, reply.m_wanted, message);
+    Send(peer, std::move(message), now);
+  }
+  const bool is_equal = reply.m_root_hash == m_store.RootHash();
+  if (!is_equal && reply.m_buckets.size() == kDigestBuckets) {
+    Send(peer, MakeComparison(m_store, reply.m_buckets), now);
+  } else if (reply.m_has_more) {
+    Probe(peer, {}, now);
+  }
+
+  // Its knowledge holds here too once the configurations agree
+  const bool has_compared =
+      pending.m_kind == ControlKind::kCompare && !reply.m_has_more;
+  if (is_equal || has_compared) {
+    m_has_agreed = true;
+  }
+  if (is_equal && reply.m_has_age) {
+    Confirm(pending.m_sent_at - Milliseconds(reply.m_age_ms));
+  }
+  UpdateJoined(now);
+
+  // Tell who asked for this probe that it was answered
+  if (!pending.m_asked_by.IsEmpty()) {
+    if (const Instance* asker = FindInstance(pending.m_asked_by)) {
+      ControlMessage message;
+      message.m_notices.push_back(m_members.NoticeOf(peer.m_id));
+      Send(Instance(*asker), std::move(message), now);
+    }
+  }
+}
+
+void ControlPolicy::Hear(const FailureDomain& from_domain,
+                         const ControlMessage& message,
+                         std::vector<MemberNotice>& news,
+                         TimePoint now) {
+  m_last_heard = now;
+  if (m_members.Merge(message.m_sender, from_domain, now)) {
+    news.push_back(message.m_sender);
+  }
+  for (const MemberNotice& notice : message.m_notices) {
+    if (m_members.Merge(notice, from_domain, now) &&
+        notice.m_instance != m_settings.m_id) {
+      news.push_back(notice);
+    }
+  }
+}
+
+void ControlPolicy::OnPushed(const FailureDomain& from_domain,
+                             const ControlMessage& message,
+                             std::vector<MemberNotice> news,
+                             TimePoint now) {
+  const std::vector<PublishedValue> applied = Offer(message.m_values);
+  ForgetDeferred(message.m_values);
+  RefreshView();
+  const bool is_tree = !message.m_tree_root.IsEmpty();
+
+  // Begin a tree of this domain for what came from another one
+  if (from_domain != m_settings.m_domain) {
+    if (m_joined) {
+      PushFromHere(applied, now);
+    }
+    if (is_tree && !news.empty()) {
+      Relay(m_settings.m_id, {}, news, now);
+    }
+    return;
+  }
+  if (is_tree && (!applied.empty() || !news.empty())) {
+    Relay(message.m_tree_root, applied, news, now);
+  }
+}
+
+void ControlPolicy::Send(const Instance& target,
+                         ControlMessage message,
+                         TimePoint now,
+                         InstanceId asked_by) {
+  Stamp(message, target.m_id, target.m_domain, now);
+  const std::uint64_t token = ++m_last_token;
+  m_pending[token] = Pending{target, message.m_kind, now, std::move(asked_by)};
+  m_decisions.m_sends.push_back(ControlSend{target, token, std::move(message)});
+}
+
+void ControlPolicy::Stamp(ControlMessage& message,
+                          const InstanceId& to,
+                          const FailureDomain& to_domain,
+                          TimePoint now) {
+  message.m_sender = m_members.Self();
+  message.m_root_hash = m_store.RootHash();
+  message.m_has_age = m_current_at.has_value();
+  if (m_current_at) {
+    const auto age =
+        std::chrono::duration_cast<Milliseconds>(now - *m_current_at);
+    message.m_age_ms =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0));
+  }
+
+  // Tell the receiver what is held of itself, so that it can contradict
+  const MemberNotice of_receiver = m_members.NoticeOf(to);
+  if (of_receiver.m_incarnation > 0) {
+    message.m_notices.push_back(of_receiver);
+  }
+  for (MemberNotice& notice :
+       m_members.TakeNews(kNoticesPerMessage, to_domain)) {
+    message.m_notices.push_back(std::move(notice));
+  }
+}
+
+std::vector<PublishedValue> ControlPolicy::Offer(
+    const std::vector<PublishedValue>& values) {
+  std::vector<PublishedValue> applied;
+  for (const PublishedValue& value : values) {
+    ConfigNews news;
+    const bool had_conflict = m_store.HasConflict(value.m_name);
+    news.m_verdict = m_store.Offer(value, news.m_problems);
+    news.m_is_conflict = !had_conflict && m_store.HasConflict(value.m_name);
+    if (news.m_verdict == ConfigVerdict::kApplied) {
+      applied.push_back(value);
+      m_decisions.m_is_view_changed = true;
+    }
+    if (news.m_verdict != ConfigVerdict::kKept || news.m_is_conflict) {
+      news.m_value = value;
+      m_decisions.m_news.push_back(std::move(news));
+    }
+    if (news.m_verdict == ConfigVerdict::kApplied &&
+        value.m_name == "instances") {
+      m_members.SetListed(m_store.State().m_instances);
+    }
+  }
+  return applied;
+}
+
+void ControlPolicy::PushFromHere(std::vector<PublishedValue> values,
+                                 TimePoint now) {
+  if (values.empty()) {
+    return;
+  }
+  m_extra_other_probe = now + kExtraOtherProbeDelay;
+  Relay(m_settings.m_id, values, {}, now);
+}
+
+void ControlPolicy::Relay(const InstanceId& root,
+                          const std::vector<PublishedValue>& values,
+                          const std::vector<MemberNotice>& notices,
+                          TimePoint now) {
+  const auto live = m_live.find(m_settings.m_domain);
+  if (live == m_live.end()) {
+    return;
+  }
+  for (const Instance& target :
+       PushTargets(live->second, root, m_settings.m_id)) {
+    ControlMessage message;
+    message.m_kind = ControlKind::kPush;
+    message.m_tree_root = root;
+    message.m_values = values;
+    message.m_notices = notices;
+    Send(target, std::move(message), now);
+  }
+}
+
+void ControlPolicy::RunDeferredPushes(TimePoint now) {
+  std::vector<PublishedValue> due;
+  std::erase_if(m_deferred, [&](DeferredPush& push) {
+    if (now < push.m_due) {
+      return false;
+    }
+    due.insert(due.end(), push.m_values.begin(), push.m_values.end());
+    return true;
+  });
+  PushFromHere(std::move(due), now);
+}
+
+void ControlPolicy::ForgetDeferred(const std::vector<PublishedValue>& values) {
+  for (DeferredPush& push : m_deferred) {
+    std::erase_if(push.m_values, [&](const PublishedValue& deferred) {
+      return std::find(values.begin(), values.end(), deferred) != values.end();
+    });
+  }
+  std::erase_if(m_deferred,
+                [](const DeferredPush& push) { return push.m_values.empty(); });
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/tests/config_spread_policy_test.cpp
@@ -0,0 +1,195 @@
+#include <catch2/catch.hpp>
+
+#include "simulated_fleet.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr unsigned kSeed = 20261204;
+constexpr std::size_t kDomains = 3;
+constexpr std::size_t kPerDomain = 20;
+
+/// Stated target: a change is in force everywhere within 5 s.
+constexpr Milliseconds kInForce{5000};
+constexpr Milliseconds kJoining{6000};
+
+InstanceId Id(std::size_t domain, std::size_t number) {
+  return InstanceId(fmt::format("d{}-{}", domain, number));
+}
+
+void Join(SimulatedFleet& fleet) {
+  CAPTURE(kSeed);
+  REQUIRE(fleet.RunUntil(kJoining, [&] { return fleet.AllJoined(); }) <=
+          kJoining);
+  fleet.Run(Milliseconds(2000));
+}
+
+void RequireInForce(SimulatedFleet& fleet, std::uint64_t version) {
+  CAPTURE(kSeed, version);
+  REQUIRE(fleet.RunUntil(kInForce, [&] { return fleet.AllHave(version); }) <=
+          kInForce);
+}
+
+std::size_t Watchers(const SimulatedFleet& fleet) {
+  std::size_t watchers = 0;
+  for (const InstanceId& id : fleet.Running()) {
+    watchers += fleet.At(id).IsWatcher() ? 1 : 0;
+  }
+  return watchers;
+}
+
+TEST_CASE("a change reaches every instance within the stated time") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  REQUIRE(Watchers(fleet) == kDomains * 3);
+  fleet.PublishContract(2, 200);
+  RequireInForce(fleet, 2);
+}
+
+TEST_CASE("a change spreads over lossy links") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  fleet.SetLoss(0.1);
+  fleet.PublishContract(2, 200);
+  RequireInForce(fleet, 2);
+}
+
+TEST_CASE("a change spreads while a third of the instances is killed") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  for (std::size_t i = 0; i < kDomains * kPerDomain; i += 3) {
+    fleet.Kill(Id(i % kDomains, i / kDomains));
+  }
+  for (std::size_t i = 0; i < kPerDomain; i += 3) {
+    fleet.Kill(Id(1, i));
+    fleet.Kill(Id(2, i));
+  }
+  fleet.PublishContract(2, 200);
+  RequireInForce(fleet, 2);
+}
+
+TEST_CASE("a change outlives a platform that fails after the first read") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  fleet.CutFromPlatform(FailureDomain("d1"), true);
+  fleet.CutFromPlatform(FailureDomain("d2"), true);
+  fleet.PublishContract(2, 200);
+  fleet.RunUntil(kInForce, [&] {
+    for (const InstanceId& id : fleet.Running()) {
+      if (fleet.VersionAt(id) == 2) {
+        return true;
+      }
+    }
+    return false;
+  });
+  fleet.SetPlatformUp(false);
+  RequireInForce(fleet, 2);
+}
+
+TEST_CASE("a domain cut from the platform stays current by its neighbours") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  fleet.CutFromPlatform(FailureDomain("d2"), true);
+  for (std::uint64_t version = 2; version < 6; ++version) {
+    fleet.PublishContract(version, 200);
+    RequireInForce(fleet, version);
+  }
+}
+
+TEST_CASE("a domain that was cut off takes what it missed when it rejoins") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  const FailureDomain domain("d2");
+  fleet.CutBetweenDomains(domain, true);
+  fleet.CutFromPlatform(domain, true);
+  fleet.PublishContract(2, 200);
+  fleet.Run(Milliseconds(60'000));
+  REQUIRE(fleet.VersionAt(Id(2, 3)) == 1);
+  REQUIRE(fleet.VersionAt(Id(0, 3)) == 2);
+  // Its own instances are live to it all the time
+  REQUIRE(fleet.SeesLive(Id(2, 3), Id(2, 4)));
+  fleet.CutBetweenDomains(domain, false);
+  RequireInForce(fleet, 2);
+}
+
+TEST_CASE("racing operators end with one text on every instance") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  fleet.CutFromPlatform(FailureDomain("d2"), true);
+  fleet.PublishContract(2, 200);
+  fleet.Run(Milliseconds(20));
+  fleet.PublishContract(2, 300);
+  const auto agree = [&] {
+    for (const InstanceId& id : fleet.Running()) {
+      if (fleet.At(id).Store().RootHash() !=
+          fleet.At(Id(0, 0)).Store().RootHash()) {
+        return false;
+      }
+    }
+    return fleet.AllHave(2);
+  };
+  CAPTURE(kSeed);
+  REQUIRE(fleet.RunUntil(kInForce, agree) <= kInForce);
+}
+
+TEST_CASE("a platform that goes back reverts nothing and stalls nothing") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  const auto backup = fleet.Values();
+  for (std::uint64_t version = 2; version < 30; ++version) {
+    fleet.PublishContract(version, 200);
+  }
+  RequireInForce(fleet, 29);
+  fleet.RestorePlatform(backup, 2);
+  fleet.PublishContract(30, 300);
+  RequireInForce(fleet, 30);
+
+  // It goes back once more and nothing newer is published
+  fleet.RestorePlatform(backup, 2);
+  fleet.Run(Milliseconds(15'000));
+  REQUIRE(fleet.AllHave(30));
+  fleet.PublishContract(31, 300);
+  RequireInForce(fleet, 31);
+}
+
+TEST_CASE("an instance list published after a restore comes into use") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  const auto backup = fleet.Values();
+  const std::string list = backup.at("instances").m_text;
+  fleet.PublishContract(2, 200);
+  fleet.Publish("instances", list + "# later\n");
+  RequireInForce(fleet, 2);
+  fleet.RestorePlatform(backup, 1);
+  fleet.Publish("instances", list + "# after the restore\n");
+  const auto in_use = [&] {
+    for (const InstanceId& id : fleet.Running()) {
+      if (fleet.At(id).Store().Find("instances")->m_text !=
+          list + "# after the restore\n") {
+        return false;
+      }
+    }
+    return true;
+  };
+  // The hold of 10 s against lagging replicas, and the time to spread
+  CAPTURE(kSeed);
+  REQUIRE(fleet.RunUntil(Milliseconds(20'000), in_use) <= Milliseconds(20'000));
+  REQUIRE(fleet.AllHave(2));
+}
+
+TEST_CASE("platform calls grow more slowly than the fleet") {
+  std::vector<std::uint64_t> calls;
+  for (const std::size_t per_domain : {3, 12, 48}) {
+    SimulatedFleet fleet(kDomains, per_domain, kSeed);
+    Join(fleet);
+    const std::uint64_t before = fleet.PlatformCalls();
+    fleet.Run(Milliseconds(30'000));
+    calls.push_back(fleet.PlatformCalls() - before);
+  }
+  CAPTURE(kSeed, calls);
+  REQUIRE(calls[1] <= calls[0] * 2);
+  REQUIRE(calls[2] <= calls[0] * 2);
+}
+
+}  // namespace
+}  // namespace jackdawrack
