--- a/packages/testing/src/port_block.cpp
+++ b/packages/testing/src/port_block.cpp
@@ -18,6 +18,9 @@
 
 int TryListen(std::uint16_t port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // Connections of an earlier test that linger do not take a port
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
@@ -30,14 +33,30 @@
   return fd;
 }
 
+// True if no other program listens on any of the block's ports.
+bool AreFree(std::uint16_t base) {
+  for (std::uint16_t place = 1; place < PortBlock::kSize; ++place) {
+    const int fd = TryListen(static_cast<std::uint16_t>(base + place));
+    if (fd < 0) {
+      return false;
+    }
+    close(fd);
+  }
+  return true;
+}
+
 }  // namespace
 
 PortBlock::PortBlock() {
   for (m_base = kFirstBase; m_base <= kLastBase; m_base += kSize) {
     m_lock_socket = TryListen(m_base);
-    if (m_lock_socket >= 0) {
+    if (m_lock_socket < 0) {
+      continue;
+    }
+    if (AreFree(m_base)) {
       return;
     }
+    close(m_lock_socket);
   }
   throw std::runtime_error("no free block of ports");
 }
