--- a/packages/policy/include/policy/fleet_view.h
+++ b/packages/policy/include/policy/fleet_view.h
@@ -16,11 +16,11 @@
         m_ownership(
             std::make_shared<const Ownership>(Ownership::Build(m_state))) {}
 
-  /// Takes over the ownership of `previous` if neither the instances nor the
-  /// maps changed since.
+  /// Takes over the ownership of `previous` if nothing that it follows from
+  /// has changed, so that a change of contract costs no ranking.
   FleetView(FleetState state, const FleetView& previous)
       : m_state(std::move(state)),
-        m_ownership(HasSameOwners(m_state, previous.m_state)
+        m_ownership(HasSameLayout(m_state, previous.m_state)
                         ? previous.m_ownership
                         : std::make_shared<const Ownership>(
                               Ownership::Build(m_state))) {}
@@ -29,7 +29,7 @@
   [[nodiscard]] const Ownership& Owners() const { return *m_ownership; }
 
  private:
-  static bool HasSameOwners(const FleetState& a, const FleetState& b) {
+  static bool HasSameLayout(const FleetState& a, const FleetState& b) {
     return a.m_instances == b.m_instances && a.m_collections == b.m_collections;
   }
 
