--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -8,7 +8,7 @@
 #include "core/random.h"
 #include "core/worker_pool.h"
 #include "entry/entry_service.h"
-#include "fleet/config_sync.h"
+#include "fleet/control_service.h"
 #include "net/http_server.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
@@ -57,9 +57,13 @@
       : m_settings(std::move(settings)),
         m_hello(MakeHello(m_settings)),
         m_workers(m_settings.m_worker_threads),
-        m_config(m_workers.Context(), m_settings, m_holder),
         m_owner(m_workers.Context(), m_settings.m_domain, m_holder, m_metrics),
         m_router(m_workers.Context(), m_hello, MakeService()),
+        m_control(m_workers.Context(),
+                  m_settings,
+                  m_router,
+                  m_holder,
+                  m_metrics),
         m_entry(m_workers.Context(),
                 MakeEntrySettings(m_settings, m_hello.m_epoch),
                 m_holder,
@@ -77,7 +81,7 @@
         m_operator_api(m_settings,
                        m_holder,
                        m_metrics,
-                       m_config,
+                       m_control,
                        m_entry,
                        m_stopping),
         m_operators(
@@ -96,7 +100,7 @@
         return start;
       }
     }
-    m_config.Start();
+    m_control.Start();
     m_entry.Start();
     m_workers.Start();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
@@ -125,9 +129,10 @@
                                       PeerService::RunAnswerSink sink) {
       m_owner.OnRunRequest(std::move(request), std::move(sink));
     };
-    service.m_on_control = [](const Hello&, const std::string&,
-                              const PeerService::ControlSink& sink) {
-      sink({});
+    service.m_on_control = [this](Hello caller, std::string request,
+                                  PeerService::ControlSink sink) {
+      m_control.OnControl(std::move(caller), std::move(request),
+                          std::move(sink));
     };
     service.m_on_share_ask = [this](const Hello& caller,
                                     const std::vector<ShareWish>& wishes,
@@ -143,6 +148,7 @@
 
     // Fail readiness and go on serving until the balancer has noticed
     m_stopping = true;
+    m_control.AnnounceLeaving();
     std::this_thread::sleep_for(Milliseconds(m_settings.m_balancer_lag_ms));
 
     // Take what waits in the accept queue and finish what runs
@@ -163,9 +169,9 @@
   MetricsRegistry m_metrics;
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
-  ConfigSync m_config;
   OwnerService m_owner;
   PeerRouter m_router;
+  ControlService m_control;
   EntryService m_entry;
   PeerServer m_peer_server;
   HttpServer m_callers;
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -4,7 +4,7 @@
 
 #include "core/metrics.h"
 #include "entry/entry_service.h"
-#include "fleet/config_sync.h"
+#include "fleet/control_service.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
 #include "policy/fleet_view.h"
@@ -19,7 +19,7 @@
   OperatorApi(const InstanceSettings& settings,
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
-              const ConfigSync& config,
+              const ControlService& control,
               const EntryService& entry,
               const std::atomic<bool>& stopping);
 
@@ -34,7 +34,7 @@
   const InstanceSettings& m_settings;
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
-  const ConfigSync& m_config;
+  const ControlService& m_control;
   const EntryService& m_entry;
   const std::atomic<bool>& m_stopping;
 };
