--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -24,6 +24,15 @@
 /// that a contract can ask for.
 constexpr Milliseconds kMaxDrain{60'000};
 
+/// Longest time for which leases are handed over.
+constexpr Milliseconds kMaxHandOver{3000};
+
+/// Longest time that idle connections take to close.
+constexpr Milliseconds kMaxClose{1000};
+
+/// Longest time that calls of peers are waited for.
+constexpr Milliseconds kMaxPeerDrain{5000};
+
 Hello MakeHello(const InstanceSettings& settings) {
   Hello hello;
   hello.m_instance = settings.m_id;
@@ -57,7 +66,11 @@
         m_hello(MakeHello(m_settings)),
         m_workers(m_settings.m_worker_threads),
         m_config(m_workers.Context(), m_settings, m_holder),
-        m_owner(m_workers.Context(), m_settings.m_domain, m_holder, m_metrics),
+        m_owner(m_workers.Context(),
+                LeaseHolderId{m_settings.m_id, m_hello.m_epoch},
+                m_settings.m_domain,
+                m_holder,
+                m_metrics),
         m_router(m_workers.Context(), m_hello, MakeService()),
         m_entry(m_workers.Context(),
                 MakeEntrySettings(m_settings, m_hello.m_epoch),
@@ -73,7 +86,12 @@
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
                     m_entry.Handle(request, std::move(reply));
                   }),
-        m_operator_api(m_settings, m_holder, m_metrics, m_config, m_stopping),
+        m_operator_api(m_settings,
+                       m_holder,
+                       m_metrics,
+                       m_config,
+                       m_owner,
+                       m_stopping),
         m_operators(
             m_workers.Context(),
             MakeServerSettings(m_settings, m_settings.m_operators),
@@ -91,6 +109,7 @@
       }
     }
     m_config.Start();
+    m_owner.Start(m_router);
     m_workers.Start();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
@@ -118,6 +137,9 @@
                                       PeerService::RunAnswerSink sink) {
       m_owner.OnRunRequest(std::move(request), std::move(sink));
     };
+    service.m_on_lease_call = [this](LeaseCallBody body) {
+      return m_owner.OnLeaseCall(std::move(body));
+    };
     service.m_on_control = [](const Hello&, const std::string&,
                               const PeerService::ControlSink& sink) {
       sink({});
@@ -129,20 +151,38 @@
     LogEvent(EventId::kProcessStopping, "balancer_lag_ms={}",
              m_settings.m_balancer_lag_ms);
 
-    // Fail readiness and go on serving until the balancer has noticed
+    // Fail readiness, hand leases over, and go on serving until the balancer
+    // has noticed
     m_stopping = true;
+    m_owner.Leave();
+    m_callers.EndKeepAlive();
     std::this_thread::sleep_for(Milliseconds(m_settings.m_balancer_lag_ms));
+    WaitUntil(kMaxHandOver, [this] { return m_owner.HasLeft(); });
 
     // Take what waits in the accept queue and finish what runs
     m_callers.StopAccepting();
-    const TimePoint give_up = SteadyClock().Now() + kMaxDrain;
-    std::this_thread::sleep_for(kDrainPoll);
-    while (m_callers.RunningRequests() > 0 && SteadyClock().Now() < give_up) {
-      std::this_thread::sleep_for(kDrainPoll);
-    }
+    WaitUntil(kMaxDrain, [this] {
+      return m_callers.IsListenerClosed() &&
+             (m_callers.OpenConnections() == 0 || m_callers.IsQuiet());
+    });
     m_callers.CloseIdle();
-    LogEvent(EventId::kProcessStopped, "running={}",
+    WaitUntil(kMaxClose, [this] { return m_callers.OpenConnections() == 0; });
+    LogEvent(EventId::kStopStage, "callers=closed running={}",
              m_callers.RunningRequests());
+
+    // Answer peers until they have moved off
+    WaitUntil(kMaxPeerDrain, [this] { return m_owner.RunningCount() == 0; });
+    LogEvent(EventId::kProcessStopped, "running={} peer_calls={}",
+             m_callers.RunningRequests(), m_owner.RunningCount());
+  }
+
+  // Polls until `is_done`, at most for `longest`.
+  static void WaitUntil(Milliseconds longest,
+                        const std::function<bool()>& is_done) {
+    const TimePoint give_up = SteadyClock().Now() + longest;
+    while (!is_done() && SteadyClock().Now() < give_up) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
   }
 
   const InstanceSettings m_settings;
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -29,11 +29,13 @@
                          const FleetViewHolder& holder,
                          MetricsRegistry& metrics,
                          const ConfigSync& config,
+                         const OwnerService& owner,
                          const std::atomic<bool>& stopping)
     : m_settings(settings),
       m_holder(holder),
       m_metrics(metrics),
       m_config(config),
+      m_owner(owner),
       m_stopping(stopping) {}
 
 HttpReply OperatorApi::Handle(const HttpRequest& request) {
@@ -59,7 +61,7 @@
 }
 
 bool OperatorApi::IsReady() const {
-  return !m_stopping && m_config.IsSynced();
+  return !m_stopping && m_config.IsSynced() && m_owner.IsReady();
 }
 
 HttpReply OperatorApi::Status() const {
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -6,6 +6,7 @@
 #include "fleet/config_sync.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
+#include "owner/owner_service.h"
 #include "policy/fleet_view.h"
 
 namespace jackdawrack {
@@ -19,6 +20,7 @@
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
               const ConfigSync& config,
+              const OwnerService& owner,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
@@ -33,6 +35,7 @@
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
   const ConfigSync& m_config;
+  const OwnerService& m_owner;
   const std::atomic<bool>& m_stopping;
 };
 
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -5,6 +5,7 @@
 #include "caller_codec.h"
 #include "core/event.h"
 #include "query_run.h"
+#include "request_run.h"
 
 namespace jackdawrack {
 namespace {
@@ -122,7 +123,7 @@
     }
     const Terms& found = terms.assume_value();
     RunRequest run;
-    run.m_call = CallId{NextRequest(), 1};
+    run.m_call = CallId{NextRequest(), 0};
     run.m_customer = caller.m_customer;
     run.m_collection = found.m_collection->Name();
     run.m_kind = caller.m_kind;
@@ -130,31 +131,10 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
-    SendRun(found, std::move(run), reply);
-  }
-
-  // Sends the request to the owner in the failure domain of the shard's first
-  // replica, so that every entry chooses the same owner.
-  void SendRun(const Terms& terms,
-               RunRequest run,
-               const HttpServer::Reply& reply) {
-    const CollectionMap& collection = *terms.m_collection;
-    const std::size_t position = collection.ShardAt(run.m_shard_key);
-    const Shard& shard = collection.Shards()[position];
-    const Upstream& home = collection.Upstreams()[shard.m_replicas.front()];
-    const Instance* owner = terms.m_view->Owners().OwnerOf(
-        collection.Name(), collection.BlockOfShard(position), home.m_domain);
-    if (owner == nullptr) {
-      RunAnswer answer;
-      answer.m_call = run.m_call;
-      answer.m_outcome = Outcome::kNotRun;
-      answer.m_reason = "no_owner";
-      reply(EncodeRunAnswer(answer));
-      return;
-    }
-    m_router.Send(*owner, std::move(run), [reply](const RunAnswer& answer) {
-      reply(EncodeRunAnswer(answer));
-    });
+    std::make_shared<RequestRun>(
+        m_context, m_router, m_holder, m_suspects, std::move(run),
+        [reply](const RunAnswer& answer) { reply(EncodeRunAnswer(answer)); })
+        ->Start();
   }
 
   void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
@@ -187,6 +167,7 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  SuspectList m_suspects;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
--- /dev/null
+++ b/packages/entry/src/request_run.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "peer/peer_router.h"
+#include "policy/fleet_view.h"
+#include "suspect_list.h"
+
+namespace jackdawrack {
+
+/// Takes one non-idempotent request to the holder of its key's lease.
+///
+/// It is sent to one instance at a time, and to another only after an answer
+/// that proves that the call before ran nothing. Without an answer in time the
+/// outcome is unknown.
+class RequestRun final : public std::enable_shared_from_this<RequestRun> {
+ public:
+  using DoneHandler = std::function<void(RunAnswer)>;
+
+  /// All references have to outlive this object. `request` carries the time
+  /// that the run may take.
+  RequestRun(boost::asio::io_context& context,
+             PeerRouter& router,
+             const FleetViewHolder& holder,
+             SuspectList& suspects,
+             RunRequest request,
+             DoneHandler on_done);
+
+  /// Sends the first call; called once.
+  void Start();
+
+ private:
+  void SendNext();
+  void OnAnswer(const InstanceId& target,
+                std::uint32_t attempt,
+                RunAnswer answer);
+  void RetryLater();
+  void OnDeadline();
+  void Finish(RunAnswer answer);
+
+  // The instance to ask now, or null if none is live.
+  [[nodiscard]] const Instance* ChooseTarget(const FleetView& view) const;
+  [[nodiscard]] bool WasTried(const InstanceId& instance) const;
+
+  PeerRouter& m_router;
+  const FleetViewHolder& m_holder;
+  SuspectList& m_suspects;
+  boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+  boost::asio::steady_timer m_deadline_timer;
+  boost::asio::steady_timer m_retry_timer;
+  RunRequest m_request;
+  const TimePoint m_deadline;
+  DoneHandler m_on_done;
+
+  // Progress
+  std::optional<InstanceId> m_asked;
+  InstanceId m_hint;
+  /// Asked since the last pause.
+  std::vector<InstanceId> m_tried;
+  RunAnswer m_last;
+};
+
+}  // namespace jackdawrack
--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -40,14 +40,24 @@
   /// Binds and starts to accept; the error names the address.
   NetResult<void> Start();
 
+  /// Answers every further request with "Connection: close" and goes on
+  /// accepting, so that clients with open connections move away.
+  void EndKeepAlive();
+
   /// Takes what waits in the accept queue, closes the listener, and answers
   /// every further request with "Connection: close".
   void StopAccepting();
 
+  /// True once `StopAccepting` has taken the last connection.
+  [[nodiscard]] bool IsListenerClosed() const;
+
+  /// True when no request runs and none came for a while.
+  [[nodiscard]] bool IsQuiet() const;
+
   /// Closes connections without a request running.
   void CloseIdle();
 
-  /// Requests that were read and not yet answered.
+  /// Requests of which a byte has arrived and that are not yet answered.
   [[nodiscard]] std::size_t RunningRequests() const;
 
   /// Open connections.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -25,6 +25,13 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds kUserTimeout{10'000};
 constexpr int kListenBacklog = 1024;
+constexpr std::size_t kFirstReadBytes = 4096;
+
+/// Time without a request after which a connection counts as idle for good.
+constexpr Milliseconds kQuietTime{500};
+
+/// Longest wait for the other side to close after us.
+constexpr Milliseconds kLingerTime{500};
 
 using Acceptor = asio::ip::tcp::acceptor;
 using Parser = http::request_parser<http::string_body>;
@@ -128,14 +135,22 @@
     for (Session* session : m_sessions) {
       asio::post(session->m_stream.get_executor(),
                  [weak = session->weak_from_this()] {
-                   const auto alive = weak.lock();
-                   if (alive && !alive->m_running) {
-                     alive->m_stream.cancel();
+                   if (const auto alive = weak.lock()) {
+                     alive->CloseIfIdle();
                    }
                  });
     }
   }
 
+  [[nodiscard]] bool IsListenerClosed() const { return m_listener_closed; }
+
+  void EndKeepAlive() { m_ending_keep_alive = true; }
+
+  [[nodiscard]] bool IsQuiet() const {
+    return m_running == 0 &&
+           m_last_activity.load() + kQuietTime <= SteadyClock().Now();
+  }
+
   [[nodiscard]] std::size_t RunningRequests() const { return m_running; }
 
   [[nodiscard]] std::size_t OpenConnections() const {
@@ -148,6 +163,14 @@
     explicit Session(asio::ip::tcp::socket socket)
         : m_stream(std::move(socket)) {}
 
+    // Leaves a request alone of which any byte has arrived.
+    void CloseIfIdle() {
+      beast::error_code ignored;
+      if (!m_running && m_stream.socket().available(ignored) == 0) {
+        m_stream.cancel();
+      }
+    }
+
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     bool m_running = false;
@@ -190,9 +213,11 @@
       }
     }
     m_acceptor.close(error);
+    m_listener_closed = true;
   }
 
   void StartSession(asio::ip::tcp::socket socket) {
+    m_last_activity = SteadyClock().Now();
     auto session = std::make_shared<Session>(std::move(socket));
     {
       const std::lock_guard lock(m_mutex);
@@ -210,15 +235,53 @@
                                           std::shared_ptr<Session> session) {
     while (co_await self->ServeOne(*session)) {
     }
-    beast::error_code ignored;
-    session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
-                                        ignored);
+    co_await CloseGently(*session);
     const std::lock_guard lock(self->m_mutex);
     self->m_sessions.erase(session.get());
   }
 
+  // Ends our side and waits for the other, so that what we sent last is not
+  // lost to a reset.
+  static asio::awaitable<void> CloseGently(Session& session) {
+    beast::error_code error;
+    session.m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                       error);
+    session.m_stream.expires_after(kLingerTime);
+    while (!error) {
+      session.m_buffer.clear();
+      const auto [read_error, bytes] =
+          co_await session.m_stream.async_read_some(
+              session.m_buffer.prepare(kFirstReadBytes), kTuple);
+      error = read_error;
+    }
+  }
+
   // Serves one request; false when the connection is to be closed.
   asio::awaitable<bool> ServeOne(Session& session) {
+    if (!co_await WaitForFirstByte(session)) {
+      co_return false;
+    }
+    session.m_running = true;
+    ++m_running;
+    const bool keep_alive = co_await ReadAndAnswer(session);
+    m_last_activity = SteadyClock().Now();
+    --m_running;
+    session.m_running = false;
+    co_return keep_alive;
+  }
+
+  asio::awaitable<bool> WaitForFirstByte(Session& session) {
+    if (session.m_buffer.size() > 0) {
+      co_return true;
+    }
+    session.m_stream.expires_after(m_settings.m_idle_timeout);
+    const auto [error, bytes] = co_await session.m_stream.async_read_some(
+        session.m_buffer.prepare(kFirstReadBytes), kTuple);
+    session.m_buffer.commit(bytes);
+    co_return !error;
+  }
+
+  asio::awaitable<bool> ReadAndAnswer(Session& session) {
     Parser parser;
     parser.body_limit(m_settings.m_max_body_bytes);
     parser.header_limit(m_settings.m_max_header_bytes);
@@ -233,15 +296,11 @@
     }
 
     // Run the handler, however long it takes
-    session.m_running = true;
-    ++m_running;
     session.m_stream.expires_never();
     const bool wanted = parser.get().keep_alive();
     HttpReply reply = co_await Handle(FromWire(parser.get()));
-    const bool keep_alive = wanted && !m_stopping;
+    const bool keep_alive = wanted && !m_stopping && !m_ending_keep_alive;
     const bool written = co_await Write(session, std::move(reply), keep_alive);
-    --m_running;
-    session.m_running = false;
     co_return written&& keep_alive;
   }
 
@@ -276,6 +335,9 @@
   const Handler m_handler;
   Acceptor m_acceptor;
   std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_ending_keep_alive{false};
+  std::atomic<bool> m_listener_closed{false};
+  std::atomic<TimePoint> m_last_activity{TimePoint{}};
   std::atomic<std::size_t> m_running{0};
   mutable std::mutex m_mutex;
   std::set<Session*> m_sessions;
@@ -300,6 +362,18 @@
   m_impl->StopAccepting();
 }
 
+bool HttpServer::IsListenerClosed() const {
+  return m_impl->IsListenerClosed();
+}
+
+void HttpServer::EndKeepAlive() {
+  m_impl->EndKeepAlive();
+}
+
+bool HttpServer::IsQuiet() const {
+  return m_impl->IsQuiet();
+}
+
 void HttpServer::CloseIdle() {
   m_impl->CloseIdle();
 }
--- a/packages/owner/include/owner/owner_service.h
+++ b/packages/owner/include/owner/owner_service.h
@@ -5,6 +5,7 @@
 
 #include "core/metrics.h"
 #include "model/ids.h"
+#include "peer/peer_router.h"
 #include "peer/peer_service.h"
 #include "policy/fleet_view.h"
 
@@ -16,6 +17,7 @@
  public:
   /// `holder` and `metrics` have to outlive this object.
   OwnerService(boost::asio::io_context& context,
+               LeaseHolderId self,
                FailureDomain domain,
                const FleetViewHolder& holder,
                MetricsRegistry& metrics);
@@ -33,6 +35,26 @@
   /// Runs a non-idempotent request at most once.
   void OnRunRequest(RunRequest request, PeerService::RunAnswerSink sink);
 
+  /// Answers a peer's call about leases.
+  LeaseReplyBody OnLeaseCall(LeaseCallBody body);
+
+  // Life
+
+  /// Starts to ask for leases; `router` has to outlive this object.
+  void Start(PeerRouter& router);
+
+  /// Hands every lease over to the instances that are next preferred.
+  void Leave();
+
+  /// True once no lease is held after `Leave`.
+  [[nodiscard]] bool HasLeft() const;
+
+  /// True once this process votes on leases.
+  [[nodiscard]] bool IsReady() const;
+
+  /// Calls that were taken and are not answered.
+  [[nodiscard]] std::size_t RunningCount() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/owner/src/owner_service.cpp
+++ b/packages/owner/src/owner_service.cpp
@@ -2,35 +2,15 @@
 
 #include <unordered_map>
 
-#include "core/event.h"
-#include "core/hash.h"
-#include "policy/idempotency_table.h"
+#include "lease_keeper.h"
+#include "run_request_service.h"
 #include "sub_query_run.h"
-#include "upstream/http_upstream_adapter.h"
 
 namespace jackdawrack {
-namespace {
-
-constexpr Milliseconds kKeyWindow{600'000};
-constexpr std::size_t kMaxKeys = 200'000;
-
-RunAnswer MakeAnswer(const RunRequest& request,
-                     Outcome outcome,
-                     std::string reason,
-                     std::string result = {}) {
-  RunAnswer answer;
-  answer.m_call = request.m_call;
-  answer.m_outcome = outcome;
-  answer.m_reason = std::move(reason);
-  answer.m_result = std::move(result);
-  return answer;
-}
-
-}  // namespace
-
 class OwnerService::Impl final : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& context,
+       LeaseHolderId self,
        FailureDomain domain,
        const FleetViewHolder& holder,
        MetricsRegistry& metrics)
@@ -39,7 +19,14 @@
         m_holder(holder),
         m_sub_queries(metrics.CounterFor("jackdawrack_owner_sub_queries")),
         m_table(context),
-        m_keys(kKeyWindow, kMaxKeys) {}
+        m_leases(std::make_shared<LeaseKeeper>(context,
+                                               LeaseTerms(),
+                                               std::move(self),
+                                               holder)),
+        m_run_requests(std::make_shared<RunRequestService>(m_domain,
+                                                           holder,
+                                                           m_table,
+                                                           m_leases)) {}
 
   void OnSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
     m_sub_queries.Add();
@@ -72,138 +59,23 @@
     }
   }
 
-  void OnRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
-    const std::uint64_t digest = Hash64(request.m_body);
-    switch (ClaimKey(request, digest)) {
-      case KeyVerdict::kRun:
-        Execute(std::move(request), std::move(sink));
-        return;
-      case KeyVerdict::kRunning:
-        sink(MakeAnswer(request, Outcome::kUnknown, "running"));
-        return;
-      case KeyVerdict::kSettled:
-        AnswerFromTable(request, sink);
-        return;
-      case KeyVerdict::kOtherBody:
-        sink(MakeAnswer(request, Outcome::kUnknown, "key_reused"));
-        return;
-      case KeyVerdict::kFull:
-        sink(MakeAnswer(request, Outcome::kNotRun, "owner_overloaded"));
-        return;
-    }
+  [[nodiscard]] const std::shared_ptr<LeaseKeeper>& Leases() const {
+    return m_leases;
   }
 
- private:
-  void Forget(CallId call) {
-    const std::lock_guard lock(m_mutex);
-    m_runs.erase(call);
+  [[nodiscard]] const std::shared_ptr<RunRequestService>& Runs() const {
+    return m_run_requests;
   }
 
-  KeyVerdict ClaimKey(const RunRequest& request, std::uint64_t digest) {
+  [[nodiscard]] std::size_t RunningCount() {
     const std::lock_guard lock(m_mutex);
-    return m_keys.Claim(request.m_idempotency_key, digest, SteadyClock().Now());
+    return m_runs.size() + m_run_requests->RunningCount();
   }
 
-  void AnswerFromTable(const RunRequest& request,
-                       const PeerService::RunAnswerSink& sink) {
-    std::optional<KeyRecord> record;
-    {
-      const std::lock_guard lock(m_mutex);
-      record = m_keys.Find(request.m_idempotency_key);
-    }
-    if (!record) {
-      sink(MakeAnswer(request, Outcome::kUnknown, "key_expired"));
-      return;
-    }
-    sink(MakeAnswer(request, record->m_outcome, "repeated", record->m_result));
-  }
-
-  // Sends the request to one upstream, once.
-  void Execute(RunRequest request, PeerService::RunAnswerSink sink) {
-    const std::shared_ptr<UpstreamPool> pool = ChooseUpstream(request);
-    if (pool == nullptr) {
-      Settle(request, sink,
-             MakeAnswer(request, Outcome::kNotRun, "no_replica"));
-      return;
-    }
-    const Milliseconds remaining(request.m_remaining_ms);
-    const SteadyClock clock;
-    UpstreamExecute execute;
-    execute.m_idempotency_key = request.m_idempotency_key;
-    execute.m_collection = request.m_collection;
-    execute.m_kind = request.m_kind;
-    execute.m_shard_key = request.m_shard_key;
-    execute.m_body = request.m_body;
-    execute.m_not_after_ms = clock.WallNowMs() + remaining.count();
-    pool->Submit(request.m_call.m_request.ToText(),
-                 HttpUpstreamAdapter::Encode(execute), clock.Now() + remaining,
-                 [self = shared_from_this(), request, sink,
-                  pool](const UpstreamResult<HttpReply>& reply) {
-                   self->Settle(request, sink, Judge(request, *pool, reply));
-                 });
-  }
-
-  // Says "not run" only with a proof.
-  static RunAnswer Judge(const RunRequest& request,
-                         UpstreamPool& pool,
-                         const UpstreamResult<HttpReply>& reply) {
-    if (!reply) {
-      return ProvesNotSent(reply.error().m_code)
-                 ? MakeAnswer(request, Outcome::kNotRun, "not_sent")
-                 : MakeAnswer(request, Outcome::kUnknown, "reply_lost");
-    }
-    UpstreamExecuteReply decoded =
-        HttpUpstreamAdapter::DecodeExecute(reply.assume_value());
-    if (decoded.m_report.m_is_draining) {
-      pool.MarkDraining();
-    }
-    switch (decoded.m_status) {
-      case UpstreamExecuteStatus::kRan:
-        return MakeAnswer(request, Outcome::kRan, "",
-                          std::move(decoded.m_result));
-      case UpstreamExecuteStatus::kNotRun:
-        return MakeAnswer(request, Outcome::kNotRun, "upstream_refused");
-      case UpstreamExecuteStatus::kFailed:
-        return MakeAnswer(request, Outcome::kUnknown, "upstream_failed");
-    }
-    return MakeAnswer(request, Outcome::kUnknown, "upstream_failed");
-  }
-
-  void Settle(const RunRequest& request,
-              const PeerService::RunAnswerSink& sink,
-              RunAnswer answer) {
-    {
-      const std::lock_guard lock(m_mutex);
-      m_keys.Settle(request.m_idempotency_key, answer.m_outcome,
-                    answer.m_result);
-    }
-    if (answer.m_outcome == Outcome::kUnknown) {
-      LogEvent(EventId::kOutcomeUnknown, "request={} reason={}",
-               request.m_call.m_request.ToText(), answer.m_reason);
-    }
-    sink(std::move(answer));
-  }
-
-  std::shared_ptr<UpstreamPool> ChooseUpstream(const RunRequest& request) {
-    const auto view = m_holder.Get();
-    const auto collection = view->State().FindCollection(request.m_collection);
-    if (collection == nullptr) {
-      return nullptr;
-    }
-    const Shard& shard =
-        collection->Shards()[collection->ShardAt(request.m_shard_key)];
-    for (const std::uint32_t position : shard.m_replicas) {
-      const Upstream& replica = collection->Upstreams()[position];
-      if (replica.m_domain != m_domain ||
-          replica.m_state != UpstreamState::kLive) {
-        continue;
-      }
-      std::shared_ptr<UpstreamPool> pool = m_table.PoolFor(replica);
-      if (!pool->Load().m_is_draining) {
-        return pool;
-      }
-    }
-    return nullptr;
+ private:
+  void Forget(CallId call) {
+    const std::lock_guard lock(m_mutex);
+    m_runs.erase(call);
   }
 
   boost::asio::io_context& m_context;
@@ -213,16 +85,20 @@
   UpstreamTable m_table;
   RankedMutex m_mutex{LockRank::kOwnerTable};
   std::unordered_map<CallId, std::shared_ptr<SubQueryRun>> m_runs;
-  IdempotencyTable m_keys;
+  const std::shared_ptr<LeaseKeeper> m_leases;
+  const std::shared_ptr<RunRequestService> m_run_requests;
 };
 
 OwnerService::OwnerService(boost::asio::io_context& context,
+                           LeaseHolderId self,
                            FailureDomain domain,
                            const FleetViewHolder& holder,
                            MetricsRegistry& metrics)
-    : m_impl(
-          std::make_shared<Impl>(context, std::move(domain), holder, metrics)) {
-}
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(self),
+                                    std::move(domain),
+                                    holder,
+                                    metrics)) {}
 
 OwnerService::~OwnerService() = default;
 
@@ -236,7 +112,31 @@
 
 void OwnerService::OnRunRequest(RunRequest request,
                                 PeerService::RunAnswerSink sink) {
-  m_impl->OnRunRequest(std::move(request), std::move(sink));
+  m_impl->Runs()->OnRunRequest(std::move(request), std::move(sink));
+}
+
+LeaseReplyBody OwnerService::OnLeaseCall(LeaseCallBody body) {
+  return m_impl->Leases()->OnCall(std::move(body));
+}
+
+void OwnerService::Start(PeerRouter& router) {
+  m_impl->Runs()->Start(router);
+}
+
+void OwnerService::Leave() {
+  m_impl->Leases()->Leave();
+}
+
+bool OwnerService::HasLeft() const {
+  return m_impl->Leases()->HasLeft();
+}
+
+bool OwnerService::IsReady() const {
+  return m_impl->Leases()->IsReady();
+}
+
+std::size_t OwnerService::RunningCount() const {
+  return m_impl->RunningCount();
 }
 
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/messages.h
+++ b/packages/peer/include/peer/messages.h
@@ -9,6 +9,7 @@
 #include "model/key_range.h"
 #include "model/outcome.h"
 #include "peer/call_id.h"
+#include "policy/lease_messages.h"
 
 namespace jackdawrack {
 
@@ -115,11 +116,14 @@
   std::uint64_t m_shard_key = 0;
   std::string m_body;
   std::uint32_t m_remaining_ms = 0;
+  /// Set by the lease holder when it asks an instance of another failure
+  /// domain to send the request: wall-clock time after which it must not.
+  std::int64_t m_not_after_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(m_call, m_customer, m_collection, m_kind, m_idempotency_key,
-            m_shard_key, m_body, m_remaining_ms);
+            m_shard_key, m_body, m_remaining_ms, m_not_after_ms);
   }
   friend bool operator==(const RunRequest&, const RunRequest&) = default;
 };
@@ -131,10 +135,15 @@
   /// Stable word for why it did not run, or is unknown.
   std::string m_reason;
   std::string m_result;
+  /// True when this call ran nothing and may be made again elsewhere, whatever
+  /// became of earlier calls of the same key.
+  bool m_is_retryable = false;
+  /// The instance that is believed to hold the lease; may be empty.
+  InstanceId m_holder;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_call, m_outcome, m_reason, m_result);
+    archive(m_call, m_outcome, m_reason, m_result, m_is_retryable, m_holder);
   }
   friend bool operator==(const RunAnswer&, const RunAnswer&) = default;
 };
@@ -163,6 +172,36 @@
   friend bool operator==(const ControlReply&, const ControlReply&) = default;
 };
 
+/// What instances ask each other about leases.
+using LeaseCallBody = std::variant<LeaseAsk, LeaseClaim, LeaseHandOver>;
+
+/// The answer to each; a claim has an empty one.
+using LeaseReplyBody = std::variant<LeaseVotes, LeaseHandOverReply>;
+
+/// A call about leases.
+struct LeaseCall {
+  std::uint64_t m_number = 0;
+  LeaseCallBody m_body;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_body);
+  }
+  friend bool operator==(const LeaseCall&, const LeaseCall&) = default;
+};
+
+/// The reply to the lease call of the same number.
+struct LeaseReply {
+  std::uint64_t m_number = 0;
+  LeaseReplyBody m_body;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_body);
+  }
+  friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
+};
+
 /// Any frame between instances.
 using PeerFrame = std::variant<Hello,
                                Heartbeat,
@@ -172,6 +211,8 @@
                                RunRequest,
                                RunAnswer,
                                ControlCall,
-                               ControlReply>;
+                               ControlReply,
+                               LeaseCall,
+                               LeaseReply>;
 
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/peer_client.h
+++ b/packages/peer/include/peer/peer_client.h
@@ -37,6 +37,9 @@
   /// Sends a JSON-RPC call.
   void Call(std::string text, ControlSink sink);
 
+  /// Sends a call about leases.
+  void Call(LeaseCallBody body, PeerService::LeaseSink sink);
+
   /// Closes the connection; waiting calls fail.
   void Close();
 
--- a/packages/peer/include/peer/peer_router.h
+++ b/packages/peer/include/peer/peer_router.h
@@ -33,6 +33,11 @@
             std::string text,
             PeerService::ControlSink sink);
 
+  /// Sends a call about leases.
+  void Call(const Instance& target,
+            LeaseCallBody body,
+            PeerService::LeaseSink sink);
+
   /// Closes every connection.
   void Close();
 
--- a/packages/peer/include/peer/peer_service.h
+++ b/packages/peer/include/peer/peer_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "peer/messages.h"
 
@@ -12,6 +13,8 @@
   using SubAnswerSink = std::function<void(SubAnswer)>;
   using RunAnswerSink = std::function<void(RunAnswer)>;
   using ControlSink = std::function<void(std::string)>;
+  /// Gets nothing when no reply came.
+  using LeaseSink = std::function<void(std::optional<LeaseReplyBody>)>;
 
   /// Answers with one or more parts, the last one marked.
   std::function<void(SubQuery, SubAnswerSink)> m_on_sub_query;
@@ -19,6 +22,8 @@
   std::function<void(RunRequest, RunAnswerSink)> m_on_run_request;
   /// Answers a JSON-RPC text; the first argument is the caller.
   std::function<void(Hello, std::string, ControlSink)> m_on_control;
+  /// Answers a call about leases at once.
+  std::function<LeaseReplyBody(LeaseCallBody)> m_on_lease_call;
 };
 
 }  // namespace jackdawrack
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -31,13 +31,12 @@
   return answer;
 }
 
-RunAnswer FailedAnswer(const RunRequest& request,
-                       Outcome outcome,
-                       const char* reason) {
+RunAnswer FailedAnswer(const RunRequest& request, bool was_sent) {
   RunAnswer answer;
   answer.m_call = request.m_call;
-  answer.m_outcome = outcome;
-  answer.m_reason = reason;
+  answer.m_outcome = Outcome::kUnknown;
+  answer.m_reason = was_sent ? "owner_lost" : "owner_unreachable";
+  answer.m_is_retryable = !was_sent;
   return answer;
 }
 
@@ -83,6 +82,13 @@
     });
   }
 
+  void Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), body = std::move(body),
+                          sink = std::move(sink)]() mutable {
+      self->SendLeaseCall(std::move(body), std::move(sink));
+    });
+  }
+
   void Close() {
     asio::post(m_strand, [self = shared_from_this()] {
       self->m_closed = true;
@@ -120,7 +126,7 @@
 
   void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
     if (!PrepareCall()) {
-      sink(FailedAnswer(request, Outcome::kNotRun, "owner_unreachable"));
+      sink(FailedAnswer(request, false));
       return;
     }
     const CallId call = request.m_call;
@@ -152,6 +158,20 @@
     }
   }
 
+  void SendLeaseCall(LeaseCallBody body, PeerService::LeaseSink sink) {
+    if (!PrepareCall() || m_lease_calls.size() >= kMaxWaitingCalls) {
+      sink(std::nullopt);
+      return;
+    }
+    LeaseCall call{++m_last_lease_call, std::move(body)};
+    m_lease_calls.emplace(call.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(call);
+    } else {
+      m_unsent_lease_calls.push_back(std::move(call));
+    }
+  }
+
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
     if (m_closed || SteadyClock().Now() < m_no_connect_before) {
@@ -252,20 +272,21 @@
     const auto queries = std::exchange(m_queries, {});
     const auto runs = std::exchange(m_runs, {});
     const auto controls = std::exchange(m_controls, {});
+    const auto lease_calls = std::exchange(m_lease_calls, {});
+    m_unsent_lease_calls.clear();
     m_unsent_controls.clear();
     for (const auto& [call, waiting] : queries) {
       waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
     }
     for (const auto& [call, waiting] : runs) {
-      waiting.m_sink(
-          waiting.m_was_sent
-              ? FailedAnswer(waiting.m_request, Outcome::kUnknown, "owner_lost")
-              : FailedAnswer(waiting.m_request, Outcome::kNotRun,
-                             "owner_unreachable"));
+      waiting.m_sink(FailedAnswer(waiting.m_request, waiting.m_was_sent));
     }
     for (const auto& [number, sink] : controls) {
       sink({});
     }
+    for (const auto& [number, sink] : lease_calls) {
+      sink(std::nullopt);
+    }
   }
 
   void On(Hello hello) {
@@ -289,6 +310,10 @@
       m_connection->Send(control);
     }
     m_unsent_controls.clear();
+    for (const LeaseCall& call : m_unsent_lease_calls) {
+      m_connection->Send(call);
+    }
+    m_unsent_lease_calls.clear();
   }
 
   void On(Heartbeat heartbeat) {
@@ -331,11 +356,22 @@
     sink(std::move(reply.m_text));
   }
 
+  void On(LeaseReply reply) {
+    const auto found = m_lease_calls.find(reply.m_number);
+    if (found == m_lease_calls.end()) {
+      return;
+    }
+    const PeerService::LeaseSink sink = std::move(found->second);
+    m_lease_calls.erase(found);
+    sink(std::move(reply.m_body));
+  }
+
   // Calls do not arrive on a dialled connection.
   void On(const SubQuery&) { Drop(); }
   void On(const jackdawrack::Cancel&) { Drop(); }
   void On(const RunRequest&) { Drop(); }
   void On(const ControlCall&) { Drop(); }
+  void On(const LeaseCall&) { Drop(); }
 
   const Instance m_target;
   const Hello m_self;
@@ -358,6 +394,9 @@
   std::unordered_map<std::uint64_t, ControlSink> m_controls;
   std::vector<ControlCall> m_unsent_controls;
   std::uint64_t m_last_control = 0;
+  std::unordered_map<std::uint64_t, PeerService::LeaseSink> m_lease_calls;
+  std::vector<LeaseCall> m_unsent_lease_calls;
+  std::uint64_t m_last_lease_call = 0;
 };
 
 PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
@@ -385,6 +424,10 @@
   m_impl->Call(std::move(text), std::move(sink));
 }
 
+void PeerClient::Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+  m_impl->Call(std::move(body), std::move(sink));
+}
+
 void PeerClient::Close() {
   m_impl->Close();
 }
--- a/packages/peer/src/peer_router.cpp
+++ b/packages/peer/src/peer_router.cpp
@@ -47,6 +47,16 @@
   ClientFor(target)->Call(std::move(text), std::move(sink));
 }
 
+void PeerRouter::Call(const Instance& target,
+                      LeaseCallBody body,
+                      PeerService::LeaseSink sink) {
+  if (target.m_id == m_self.m_instance) {
+    sink(m_local.m_on_lease_call(std::move(body)));
+    return;
+  }
+  ClientFor(target)->Call(std::move(body), std::move(sink));
+}
+
 void PeerRouter::Close() {
   const std::lock_guard lock(m_mutex);
   m_clients.clear();
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -69,10 +69,16 @@
                            });
   }
 
+  void On(LeaseCall call) {
+    m_connection->Send(LeaseReply{
+        call.m_number, m_service.m_on_lease_call(std::move(call.m_body))});
+  }
+
   // Replies do not arrive on an accepted connection.
   void On(const SubAnswer&) { m_connection->Close(); }
   void On(const RunAnswer&) { m_connection->Close(); }
   void On(const ControlReply&) { m_connection->Close(); }
+  void On(const LeaseReply&) { m_connection->Close(); }
 
   template <typename Message>
   std::function<void(Message)> MakeSink() {
--- a/packages/policy/include/policy/idempotency_table.h
+++ b/packages/policy/include/policy/idempotency_table.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/clock.h"
 #include "model/outcome.h"
@@ -20,6 +21,20 @@
   TimePoint m_first_seen{};
 };
 
+/// A key and its outcome, as one holder hands it to the next.
+struct KeyOutcome {
+  std::string m_key;
+  std::uint64_t m_body_digest = 0;
+  Outcome m_outcome = Outcome::kUnknown;
+  std::string m_result;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_key, m_body_digest, m_outcome, m_result);
+  }
+  friend bool operator==(const KeyOutcome&, const KeyOutcome&) = default;
+};
+
 /// Whether a key may be run.
 enum class KeyVerdict {
   /// The key is new; it is now marked as running.
@@ -52,14 +67,25 @@
   /// The record of a key, or nothing.
   [[nodiscard]] std::optional<KeyRecord> Find(const std::string& key) const;
 
+  /// Every key with its outcome; one that still runs is unknown.
+  [[nodiscard]] std::vector<KeyOutcome> Export() const;
+
+  /// Takes over a key of an earlier holder, unless it is known already. The
+  /// capacity does not bound what is taken over.
+  void Import(KeyOutcome key, TimePoint now);
+
   [[nodiscard]] std::size_t Size() const { return m_records.size(); }
 
+  /// Keys that are running.
+  [[nodiscard]] std::size_t RunningCount() const { return m_running; }
+
  private:
   void ForgetOld(TimePoint now);
 
   const Milliseconds m_window;
   const std::size_t m_capacity;
   std::unordered_map<std::string, KeyRecord> m_records;
+  std::size_t m_running = 0;
 };
 
 }  // namespace jackdawrack
--- a/packages/policy/src/idempotency_table.cpp
+++ b/packages/policy/src/idempotency_table.cpp
@@ -30,6 +30,7 @@
   record.m_body_digest = body_digest;
   record.m_first_seen = now;
   m_records.emplace(key, std::move(record));
+  ++m_running;
   return KeyVerdict::kRun;
 }
 
@@ -39,6 +40,8 @@
   const auto found = m_records.find(key);
   JR_CHECK(found != m_records.end());
   JR_CHECK(!found->second.m_is_settled);
+  JR_CHECK(m_running > 0);
+  --m_running;
   if (outcome == Outcome::kNotRun) {
     m_records.erase(found);
     return;
@@ -56,6 +59,26 @@
   return found->second;
 }
 
+std::vector<KeyOutcome> IdempotencyTable::Export() const {
+  std::vector<KeyOutcome> keys;
+  keys.reserve(m_records.size());
+  for (const auto& [key, record] : m_records) {
+    keys.push_back(KeyOutcome{key, record.m_body_digest, record.m_outcome,
+                              record.m_result});
+  }
+  return keys;
+}
+
+void IdempotencyTable::Import(KeyOutcome key, TimePoint now) {
+  KeyRecord record;
+  record.m_body_digest = key.m_body_digest;
+  record.m_is_settled = true;
+  record.m_outcome = key.m_outcome;
+  record.m_result = std::move(key.m_result);
+  record.m_first_seen = now;
+  m_records.emplace(std::move(key.m_key), std::move(record));
+}
+
 void IdempotencyTable::ForgetOld(TimePoint now) {
   std::erase_if(m_records, [&](const auto& entry) {
     return entry.second.m_is_settled &&
--- /dev/null
+++ b/packages/policy/src/lease_holder.cpp
@@ -0,0 +1,146 @@
+#include "policy/lease_holder.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jackdawrack {
+
+LeaseHolder::LeaseHolder(LeaseTerms terms) : m_terms(terms) {}
+
+void LeaseHolder::SetElectorate(const std::vector<InstanceId>& listed,
+                                TimePoint now) {
+  if (listed == m_listed) {
+    return;
+  }
+  // Keep the oldest list of a run of changes that has not settled
+  if (!IsSettling(now)) {
+    m_listed_before = m_listed;
+  }
+  if (!m_listed.empty()) {
+    m_settled_at = now + m_terms.m_settle;
+  }
+  m_listed = listed;
+}
+
+std::uint64_t LeaseHolder::StartRound(const std::vector<KeySlot>& slots,
+                                      TimePoint now,
+                                      UnixMs wall_now) {
+  ++m_last_round;
+  for (const KeySlot slot : slots) {
+    Slot& state = m_slots[slot];
+    state.m_round = m_last_round;
+    state.m_round_start = now;
+    state.m_round_wall_start = wall_now;
+    state.m_grants.clear();
+  }
+  return m_last_round;
+}
+
+void LeaseHolder::OnVotes(const InstanceId& witness,
+                          const LeaseVotes& votes,
+                          TimePoint now,
+                          UnixMs wall_now) {
+  for (const LeaseGrant& grant : votes.m_grants) {
+    const auto found = m_slots.find(grant.m_slot);
+    if (found == m_slots.end() || found->second.m_round != votes.m_number) {
+      continue;
+    }
+    found->second.m_grants[witness] = wall_now - grant.m_vacant_ms;
+    CountGrants(grant.m_slot, found->second, now, wall_now);
+  }
+}
+
+std::optional<HeldLease> LeaseHolder::Held(KeySlot slot,
+                                           TimePoint now,
+                                           UnixMs wall_now) const {
+  const auto found = m_slots.find(slot);
+  if (found == m_slots.end() || !found->second.m_lease) {
+    return std::nullopt;
+  }
+  // Both clocks have to agree; a monotonic clock may stop with the instance
+  const HeldLease& lease = *found->second.m_lease;
+  if (now >= lease.m_end || wall_now >= lease.m_wall_end) {
+    return std::nullopt;
+  }
+  HeldLease held = lease;
+  held.m_floor = std::max(held.m_floor, found->second.m_raised_floor);
+  return held;
+}
+
+void LeaseHolder::Drop(KeySlot slot) {
+  const auto found = m_slots.find(slot);
+  if (found != m_slots.end()) {
+    found->second.m_round = 0;
+    found->second.m_grants.clear();
+    found->second.m_lease.reset();
+  }
+}
+
+void LeaseHolder::RaiseFloor(KeySlot slot, UnixMs floor) {
+  Slot& state = m_slots[slot];
+  state.m_raised_floor = std::max(state.m_raised_floor, floor);
+}
+
+std::vector<InstanceId> LeaseHolder::WitnessesToAsk(KeySlot slot,
+                                                    TimePoint now) const {
+  std::vector<InstanceId> witnesses = WitnessesOf(slot, m_listed);
+  std::set<InstanceId> all(witnesses.begin(), witnesses.end());
+  if (IsSettling(now)) {
+    witnesses = WitnessesOf(slot, m_listed_before);
+    all.insert(witnesses.begin(), witnesses.end());
+  }
+  return {all.begin(), all.end()};
+}
+
+std::size_t LeaseHolder::GrantsOf(KeySlot slot) const {
+  const auto found = m_slots.find(slot);
+  return found == m_slots.end() ? 0 : found->second.m_grants.size();
+}
+
+void LeaseHolder::CountGrants(KeySlot slot,
+                              Slot& state,
+                              TimePoint now,
+                              UnixMs wall_now) {
+  // A quorum of each list that is in use
+  auto floor = FloorOfQuorum(WitnessesOf(slot, m_listed), state.m_grants);
+  if (!floor) {
+    return;
+  }
+  if (IsSettling(now)) {
+    const auto before =
+        FloorOfQuorum(WitnessesOf(slot, m_listed_before), state.m_grants);
+    if (!before) {
+      return;
+    }
+    floor = std::max(*floor, *before);
+  }
+
+  // A lease that was held without a break keeps its floor
+  if (const auto held = Held(slot, now, wall_now)) {
+    floor = held->m_floor;
+  }
+  const UnixMs wall_end = state.m_round_wall_start + m_terms.m_term.count();
+  state.m_lease =
+      HeldLease{state.m_round_start + m_terms.m_term, wall_end, *floor};
+}
+
+// The earliest time since which every member of some quorum was vacant.
+std::optional<UnixMs> LeaseHolder::FloorOfQuorum(
+    const std::vector<InstanceId>& witnesses,
+    const std::map<InstanceId, UnixMs>& grants) {
+  std::vector<UnixMs> since;
+  for (const InstanceId& witness : witnesses) {
+    const auto found = grants.find(witness);
+    if (found != grants.end()) {
+      since.push_back(found->second);
+    }
+  }
+  const std::size_t quorum = WitnessQuorum(witnesses.size());
+  if (witnesses.empty() || since.size() < quorum) {
+    return std::nullopt;
+  }
+  std::sort(since.begin(), since.end());
+  return since[quorum - 1];
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/src/lease_witness.cpp
@@ -0,0 +1,105 @@
+#include "policy/lease_witness.h"
+
+#include <algorithm>
+
+namespace jackdawrack {
+namespace {
+
+/// Longest vacancy that is told; a longer one is told as this.
+constexpr Milliseconds kMaxVacancy{3'600'000};
+
+/// Processes whose newest ask is remembered.
+constexpr std::size_t kMaxRememberedAskers = 100'000;
+
+std::uint32_t VacancyMs(TimePoint since, TimePoint now) {
+  return std::min(RemainingMs(since, now),
+                  static_cast<std::uint32_t>(kMaxVacancy.count()));
+}
+
+}  // namespace
+
+LeaseWitness::LeaseWitness(LeaseTerms terms, TimePoint started)
+    : m_terms(terms), m_active_from(started + terms.PromiseTime()) {}
+
+LeaseVotes LeaseWitness::Vote(const LeaseAsk& ask, TimePoint now) {
+  LeaseVotes votes;
+  votes.m_number = ask.m_number;
+
+  // Abstain while promises of an earlier process may hold
+  if (!IsActive(now) || !IsNewest(ask)) {
+    for (const KeySlot slot : ask.m_slots) {
+      votes.m_denials.push_back(LeaseDenial{slot, {}});
+    }
+    return votes;
+  }
+
+  Release(ask, now);
+  Transfer(ask, now);
+  for (const KeySlot slot : ask.m_slots) {
+    VoteOnSlot(ask, slot, now, votes);
+  }
+  return votes;
+}
+
+// A late release or transfer must not undo what the asker was granted since.
+bool LeaseWitness::IsNewest(const LeaseAsk& ask) {
+  const auto found = m_newest.find(ask.m_asker);
+  if (found == m_newest.end() && m_newest.size() >= kMaxRememberedAskers) {
+    return false;
+  }
+  std::uint64_t& newest = m_newest[ask.m_asker];
+  if (ask.m_number <= newest) {
+    return false;
+  }
+  newest = ask.m_number;
+  return true;
+}
+
+void LeaseWitness::Release(const LeaseAsk& ask, TimePoint now) {
+  for (const KeySlot slot : ask.m_released) {
+    const auto found = m_promises.find(slot);
+    if (found != m_promises.end() && found->second.m_holder == ask.m_asker) {
+      found->second.m_until = std::min(found->second.m_until, now);
+    }
+  }
+}
+
+void LeaseWitness::Transfer(const LeaseAsk& ask, TimePoint now) {
+  for (const KeySlot slot : ask.m_transferred) {
+    const auto found = m_promises.find(slot);
+    const bool is_held = found != m_promises.end() &&
+                         found->second.m_holder == ask.m_asker &&
+                         now < found->second.m_until;
+    if (is_held) {
+      found->second.m_holder = ask.m_successor;
+      found->second.m_until = now + m_terms.PromiseTime();
+    }
+  }
+}
+
+void LeaseWitness::VoteOnSlot(const LeaseAsk& ask,
+                              KeySlot slot,
+                              TimePoint now,
+                              LeaseVotes& votes) {
+  const auto [found, is_new] = m_promises.try_emplace(slot);
+  Promise& promise = found->second;
+  if (is_new) {
+    promise = Promise{ask.m_asker, now, m_active_from};
+  }
+
+  // Keep the promise made to another
+  const bool is_other = promise.m_holder != ask.m_asker;
+  if (is_other && now < promise.m_until) {
+    votes.m_denials.push_back(LeaseDenial{slot, promise.m_holder.m_instance});
+    return;
+  }
+
+  if (is_other) {
+    promise.m_since = promise.m_until;
+    promise.m_holder = ask.m_asker;
+  }
+  promise.m_until = now + m_terms.PromiseTime();
+  votes.m_grants.push_back(LeaseGrant{slot, VacancyMs(promise.m_since, now)});
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/src/run_guard.cpp
@@ -0,0 +1,136 @@
+#include "policy/run_guard.h"
+
+#include <algorithm>
+
+namespace jackdawrack {
+namespace {
+
+constexpr char kSeparator = '/';
+
+// The mint time in the text of a run key; 0 if it has none.
+UnixMs MintTimeInText(const std::string& text) {
+  const std::size_t separator = text.rfind(kSeparator);
+  return MintTimeOf(text.substr(separator + 1)).value_or(0);
+}
+
+// Sorts the youngest keys first.
+void SortByMintTime(std::vector<KeyOutcome>& keys) {
+  std::sort(keys.begin(), keys.end(),
+            [](const KeyOutcome& a, const KeyOutcome& b) {
+              return MintTimeInText(a.m_key) > MintTimeInText(b.m_key);
+            });
+}
+
+}  // namespace
+
+std::optional<RunKey> RunKey::Make(const Customer& customer,
+                                   const std::string& idempotency_key) {
+  const auto minted = MintTimeOf(idempotency_key);
+  if (!minted) {
+    return std::nullopt;
+  }
+  RunKey key;
+  key.m_slot = KeySlotOf(customer, idempotency_key);
+  key.m_text = customer.Text() + kSeparator + idempotency_key;
+  key.m_minted = *minted;
+  return key;
+}
+
+RunGuard::RunGuard(LeaseTerms terms, RunGuardSettings settings)
+    : m_terms(terms), m_settings(settings) {}
+
+RunVerdict RunGuard::Admit(const RunKey& key,
+                           std::uint64_t body_digest,
+                           const std::optional<HeldLease>& lease,
+                           TimePoint now,
+                           UnixMs wall_now) {
+  // What is remembered is true with and without a lease
+  IdempotencyTable& table = TableOf(key.m_slot);
+  if (const auto known = table.Find(key.m_text)) {
+    if (known->m_body_digest != body_digest) {
+      return RunVerdict::kOtherBody;
+    }
+    return known->m_is_settled ? RunVerdict::kSettled : RunVerdict::kRunning;
+  }
+
+  // A key from the future could outlive what is remembered of it
+  const UnixMs ahead = key.m_minted - wall_now;
+  if (ahead > m_terms.MintMargin().count()) {
+    return RunVerdict::kFromFuture;
+  }
+  if (ahead > m_terms.m_mint_ahead.count()) {
+    return RunVerdict::kTooNew;
+  }
+
+  // An earlier holder, or this one before it forgot, may have run an old key
+  if (!lease) {
+    return RunVerdict::kNoLease;
+  }
+  const UnixMs forgotten = wall_now - m_settings.m_window.count();
+  const UnixMs floor = std::max(lease->m_floor, forgotten);
+  if (key.m_minted <= floor + m_terms.MintMargin().count()) {
+    return RunVerdict::kTooOld;
+  }
+
+  if (IsFrozen(key.m_slot)) {
+    return RunVerdict::kMoving;
+  }
+  return table.Claim(key.m_text, body_digest, now) == KeyVerdict::kRun
+             ? RunVerdict::kRun
+             : RunVerdict::kFull;
+}
+
+void RunGuard::Settle(const RunKey& key, Outcome outcome, std::string result) {
+  TableOf(key.m_slot).Settle(key.m_text, outcome, std::move(result));
+}
+
+std::optional<KeyRecord> RunGuard::Find(const RunKey& key) const {
+  const auto table = m_tables.find(key.m_slot);
+  return table == m_tables.end() ? std::nullopt
+                                 : table->second.Find(key.m_text);
+}
+
+std::size_t RunGuard::RunningCount(KeySlot slot) const {
+  const auto table = m_tables.find(slot);
+  return table == m_tables.end() ? 0 : table->second.RunningCount();
+}
+
+SlotHandOver RunGuard::Export(KeySlot slot, const HeldLease& lease) const {
+  SlotHandOver handed;
+  handed.m_slot = slot;
+  handed.m_floor = lease.m_floor;
+  const auto table = m_tables.find(slot);
+  if (table == m_tables.end()) {
+    return handed;
+  }
+  std::vector<KeyOutcome> keys = table->second.Export();
+  SortByMintTime(keys);
+
+  // Leave out the oldest beyond the bounds, and raise the floor past them
+  std::size_t bytes = 0;
+  for (KeyOutcome& key : keys) {
+    bytes += key.m_key.size() + key.m_result.size();
+    if (handed.m_keys.size() >= m_settings.m_max_handed_keys ||
+        bytes > m_settings.m_max_handed_bytes) {
+      handed.m_floor = std::max(handed.m_floor, MintTimeInText(key.m_key));
+      break;
+    }
+    handed.m_keys.push_back(std::move(key));
+  }
+  return handed;
+}
+
+void RunGuard::Import(SlotHandOver slot, TimePoint now) {
+  IdempotencyTable& table = TableOf(slot.m_slot);
+  for (KeyOutcome& key : slot.m_keys) {
+    table.Import(std::move(key), now);
+  }
+}
+
+IdempotencyTable& RunGuard::TableOf(KeySlot slot) {
+  return m_tables
+      .try_emplace(slot, m_settings.m_window, m_settings.m_max_keys_per_slot)
+      .first->second;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/src/witness_set.cpp
@@ -0,0 +1,59 @@
+#include "policy/witness_set.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "core/hash.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr std::uint64_t kWitnessSeed = 1;
+constexpr std::uint64_t kHolderSeed = 2;
+
+struct Ranked {
+  std::uint64_t m_weight = 0;
+  InstanceId m_instance;
+
+  friend auto operator<=>(const Ranked&, const Ranked&) = default;
+};
+
+// Sorts by rendezvous weight, the greatest first.
+std::vector<InstanceId> RankInstances(
+    std::uint64_t seed,
+    KeySlot slot,
+    const std::vector<InstanceId>& instances) {
+  std::vector<Ranked> ranked;
+  ranked.reserve(instances.size());
+  for (const InstanceId& instance : instances) {
+    ranked.push_back(Ranked{
+        MixHash(MixHash(seed, slot), Hash64(instance.Text())), instance});
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+
+  std::vector<InstanceId> names;
+  names.reserve(ranked.size());
+  for (Ranked& entry : ranked) {
+    names.push_back(std::move(entry.m_instance));
+  }
+  return names;
+}
+
+}  // namespace
+
+std::vector<InstanceId> WitnessesOf(KeySlot slot,
+                                    const std::vector<InstanceId>& listed) {
+  if (listed.size() <= kMaxWitnesses) {
+    return listed;
+  }
+  std::vector<InstanceId> witnesses = RankInstances(kWitnessSeed, slot, listed);
+  witnesses.resize(kMaxWitnesses);
+  return witnesses;
+}
+
+std::vector<InstanceId> HolderOrder(KeySlot slot,
+                                    const std::vector<InstanceId>& live) {
+  return RankInstances(kHolderSeed, slot, live);
+}
+
+}  // namespace jackdawrack
