--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -78,12 +78,14 @@
                          MetricsRegistry& metrics,
                          const ControlService& control,
                          const EntryService& entry,
+                         const OwnerService& owner,
                          const std::atomic<bool>& stopping)
     : m_settings(settings),
       m_holder(holder),
       m_metrics(metrics),
       m_control(control),
       m_entry(entry),
+      m_owner(owner),
       m_stopping(stopping) {}
 
 HttpReply OperatorApi::Handle(const HttpRequest& request) {
@@ -109,7 +111,8 @@
 }
 
 bool OperatorApi::IsReady() const {
-  return !m_stopping && m_control.IsSynced() && m_entry.IsReady();
+  return !m_stopping && m_control.IsSynced() && m_entry.IsReady() &&
+         m_owner.IsReady();
 }
 
 HttpReply OperatorApi::Status() const {
--- a/packages/peer/include/peer/peer_client.h
+++ b/packages/peer/include/peer/peer_client.h
@@ -40,6 +40,9 @@
   /// Asks for parts of contracts; the sink is not called if no reply comes.
   void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink);
 
+  /// Sends a call about leases.
+  void Call(LeaseCallBody body, PeerService::LeaseSink sink);
+
   /// Closes the connection; waiting calls fail.
   void Close();
 
