--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -37,6 +37,10 @@
   EntrySettings entry;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  if (settings.m_direct_baseline) {
+    entry.m_direct_self = Instance{settings.m_id, settings.m_domain,
+                                   settings.m_peers, InstanceState::kLive};
+  }
   return entry;
 }
 
@@ -73,7 +77,12 @@
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
                     m_entry.Handle(request, std::move(reply));
                   }),
-        m_operator_api(m_settings, m_holder, m_metrics, m_config, m_stopping),
+        m_operator_api(m_settings,
+                       m_holder,
+                       m_metrics,
+                       m_config,
+                       m_entry,
+                       m_stopping),
         m_operators(
             m_workers.Context(),
             MakeServerSettings(m_settings, m_settings.m_operators),
@@ -95,6 +104,10 @@
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
              m_settings.m_callers.ToText());
+    if (m_settings.m_direct_baseline) {
+      LogEvent(EventId::kDirectBaseline, "domain={}",
+               m_settings.m_domain.Text());
+    }
     return boost::outcome_v2::success();
   }
 
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -1,13 +1,18 @@
 #include "operator_api.h"
 
+#include <fmt/format.h>
+
 #include <boost/json.hpp>
 
+#include "core/hash.h"
+
 namespace jackdawrack {
 namespace {
 
 namespace json = boost::json;
 
 constexpr unsigned kUnavailable = 503;
+constexpr std::string_view kExplainPrefix = "/v1/explain/";
 
 HttpReply TextReply(unsigned status, std::string text) {
   HttpReply reply;
@@ -29,11 +34,13 @@
                          const FleetViewHolder& holder,
                          MetricsRegistry& metrics,
                          const ConfigSync& config,
+                         const EntryService& entry,
                          const std::atomic<bool>& stopping)
     : m_settings(settings),
       m_holder(holder),
       m_metrics(metrics),
       m_config(config),
+      m_entry(entry),
       m_stopping(stopping) {}
 
 HttpReply OperatorApi::Handle(const HttpRequest& request) {
@@ -53,9 +60,12 @@
   if (request.m_target == "/v1/contracts") {
     return Contracts();
   }
+  if (request.m_target.compare(0, kExplainPrefix.size(), kExplainPrefix) == 0) {
+    return Explain(request.m_target.substr(kExplainPrefix.size()));
+  }
   return TextReply(404,
-                   "accepted are /healthz, /readyz, /metrics, /v1/status and "
-                   "/v1/contracts\n");
+                   "accepted are /healthz, /readyz, /metrics, /v1/status, "
+                   "/v1/contracts and /v1/explain/REQUEST-ID\n");
 }
 
 bool OperatorApi::IsReady() const {
@@ -95,6 +105,20 @@
   });
 }
 
+HttpReply OperatorApi::Explain(const std::string& id) const {
+  const auto request = RequestId::Parse(id);
+  if (!request) {
+    return TextReply(400, "accepted is a request id as an answer names it\n");
+  }
+  const auto trace = m_entry.Explain(*request);
+  if (!trace) {
+    return TextReply(404, "not remembered here\n");
+  }
+  HttpReply reply;
+  reply.m_body = *trace;
+  return reply;
+}
+
 HttpReply OperatorApi::Contracts() const {
   const auto view = m_holder.Get();
   json::array contracts;
@@ -102,11 +126,16 @@
     contracts.push_back(json::object{
         {"customer", customer.Text()},
         {"version", contract->Version()},
+        {"text_hash", fmt::format("{:016x}", Hash64(contract->Text()))},
+        {"rate_per_second", contract->RatePerSecond()},
+        {"concurrency", contract->Concurrency()},
         {"deadline_ms", contract->DeadlineMs()},
         {"minimum_coverage", contract->MinimumCoverage()},
     });
   }
-  return JsonReply(json::object{{"contracts", std::move(contracts)}});
+  return JsonReply(json::object{{"instance", m_settings.m_id.Text()},
+                                {"config_age_ms", m_config.Age().count()},
+                                {"contracts", std::move(contracts)}});
 }
 
 }  // namespace jackdawrack
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include "core/metrics.h"
+#include "entry/entry_service.h"
 #include "fleet/config_sync.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
@@ -11,7 +12,7 @@
 namespace jackdawrack {
 
 /// What operators and the balancer ask an instance: liveness, readiness,
-/// metrics, status and contracts. It changes nothing.
+/// metrics, status, contracts and traces. It changes nothing.
 class OperatorApi final {
  public:
   /// All references have to outlive this object.
@@ -19,20 +20,24 @@
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
               const ConfigSync& config,
+              const EntryService& entry,
               const std::atomic<bool>& stopping);
 
-  /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
+  /// Serves /healthz, /readyz, /metrics, /v1/status, /v1/contracts
+  /// and /v1/explain/<request id>.
   [[nodiscard]] HttpReply Handle(const HttpRequest& request);
 
  private:
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] HttpReply Status() const;
   [[nodiscard]] HttpReply Contracts() const;
+  [[nodiscard]] HttpReply Explain(const std::string& id) const;
 
   const InstanceSettings& m_settings;
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
   const ConfigSync& m_config;
+  const EntryService& m_entry;
   const std::atomic<bool>& m_stopping;
 };
 
--- a/packages/entry/include/entry/entry_service.h
+++ b/packages/entry/include/entry/entry_service.h
@@ -2,9 +2,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "core/metrics.h"
 #include "entry/entry_settings.h"
+#include "model/request_id.h"
 #include "net/http_server.h"
 #include "peer/peer_router.h"
 #include "policy/fleet_view.h"
@@ -28,6 +31,10 @@
   /// Serves `POST /v1/query` and `POST /v1/request`.
   void Handle(const HttpRequest& request, HttpServer::Reply reply);
 
+  /// What was done for a finished request, as JSON; nothing once it is
+  /// forgotten, or if this instance never took it.
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/entry/include/entry/entry_settings.h
+++ b/packages/entry/include/entry/entry_settings.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
-#include "model/ids.h"
+#include "model/instance.h"
 
 namespace jackdawrack {
 
@@ -13,6 +14,8 @@
   std::uint64_t m_epoch = 0;
   std::size_t m_max_idempotency_key_bytes = 128;
   std::size_t m_max_ranges = 4096;
+  /// This instance, if queries go past the owners of its own domain.
+  std::optional<Instance> m_direct_self;
 };
 
 }  // namespace jackdawrack
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -4,7 +4,10 @@
 
 #include "caller_codec.h"
 #include "core/event.h"
+#include "customer_metrics.h"
+#include "entry/trace_store.h"
 #include "query_run.h"
+#include "trace_codec.h"
 
 namespace jackdawrack {
 namespace {
@@ -26,7 +29,9 @@
         m_settings(std::move(settings)),
         m_holder(holder),
         m_router(router),
-        m_metrics(metrics) {}
+        m_metrics(metrics),
+        m_customers(metrics),
+        m_traces(TraceStoreSettings()) {}
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -41,6 +46,14 @@
     }
   }
 
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const {
+    const auto record = m_traces.Find(request);
+    if (!record) {
+      return std::nullopt;
+    }
+    return EncodeTrace(*record);
+  }
+
  private:
   /// The contract, kind and collection that a request falls under.
   struct Terms {
@@ -89,7 +102,7 @@
     const Customer customer = query.assume_value().m_customer;
     const auto terms = FindTerms(customer, query.assume_value().m_kind, true);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(customer, terms.error(), reply);
       return;
     }
     QueryRunSpec spec;
@@ -99,12 +112,15 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
-    std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
-                               [self = shared_from_this(), customer,
-                                reply](const QueryAnswer& answer) {
-                                 self->CountQuery(customer, answer);
-                                 reply(EncodeQueryAnswer(answer));
-                               })
+    const auto trace = MakeTrace(spec.m_request, customer, spec.m_query.m_kind);
+    spec.m_trace = trace;
+    spec.m_direct_self = m_settings.m_direct_self;
+    std::make_shared<QueryRun>(
+        m_context, m_router, m_holder, std::move(spec),
+        [self = shared_from_this(), trace, reply](const QueryAnswer& answer) {
+          self->FinishQuery(*trace, answer);
+          reply(EncodeQueryAnswer(answer));
+        })
         ->Start();
   }
 
@@ -117,7 +133,7 @@
     const CallerRequest& caller = decoded.assume_value();
     const auto terms = FindTerms(caller.m_customer, caller.m_kind, false);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(caller.m_customer, terms.error(), reply);
       return;
     }
     const Terms& found = terms.assume_value();
@@ -138,6 +154,8 @@
   void SendRun(const Terms& terms,
                RunRequest run,
                const HttpServer::Reply& reply) {
+    const auto trace =
+        MakeTrace(run.m_call.m_request, run.m_customer, run.m_kind);
     const CollectionMap& collection = *terms.m_collection;
     const std::size_t position = collection.ShardAt(run.m_shard_key);
     const Shard& shard = collection.Shards()[position];
@@ -149,12 +167,17 @@
       answer.m_call = run.m_call;
       answer.m_outcome = Outcome::kNotRun;
       answer.m_reason = "no_owner";
+      FinishRun(*trace, answer);
       reply(EncodeRunAnswer(answer));
       return;
     }
-    m_router.Send(*owner, std::move(run), [reply](const RunAnswer& answer) {
-      reply(EncodeRunAnswer(answer));
-    });
+    trace->Sent(owner->m_id, 1, SteadyClock().Now());
+    m_router.Send(
+        *owner, std::move(run),
+        [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
+          self->FinishRun(*trace, answer);
+          reply(EncodeRunAnswer(answer));
+        });
   }
 
   void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
@@ -167,15 +190,42 @@
     reply(EncodeError(error));
   }
 
-  void CountQuery(const Customer& customer, const QueryAnswer& answer) {
-    const std::string label = fmt::format("customer=\"{}\"", customer.Text());
-    m_metrics.HistogramFor("jackdawrack_query_ms", label).Record(answer.m_took);
-    m_metrics.CounterFor("jackdawrack_queries", label).Add();
-    if (!answer.m_missing.empty()) {
-      m_metrics.CounterFor("jackdawrack_partial_queries", label).Add();
+  // Counts a refusal for the customer too, if it has a contract.
+  void RefuseCustomer(const Customer& customer,
+                      const EntryError& error,
+                      const HttpServer::Reply& reply) {
+    if (error.m_code != EntryErrc::kUnknownCustomer) {
+      m_customers.For(customer)->CountRefusal(error.m_code);
+    }
+    Refuse(error, reply);
+  }
+
+  std::shared_ptr<RequestTrace> MakeTrace(RequestId request,
+                                          const Customer& customer,
+                                          const std::string& kind) {
+    const SteadyClock clock;
+    return std::make_shared<RequestTrace>(
+        request, customer, kind, clock.Now(), clock.WallNowMs(),
+        m_customers.For(customer)->LateReplies());
+  }
+
+  void FinishQuery(const RequestTrace& trace, const QueryAnswer& answer) {
+    const TraceRecord& record = trace.Record();
+    m_customers.For(record.m_customer)->CountQuery(answer, trace.Counts());
+    const bool is_partial = !answer.m_missing.empty();
+    if (is_partial) {
       LogEvent(EventId::kAnswerPartial, "request={} coverage={:.4f}",
                answer.m_request.ToText(), answer.m_coverage);
     }
+    m_traces.Add(record, is_partial || trace.Counts() != TraceCounts());
+  }
+
+  void FinishRun(RequestTrace& trace, const RunAnswer& answer) {
+    const bool is_run = answer.m_outcome == Outcome::kRan;
+    trace.Finished(is_run ? 0 : 1, std::string(OutcomeName(answer.m_outcome)),
+                   SteadyClock().Now());
+    m_customers.For(trace.Record().m_customer)->CountRun(answer);
+    m_traces.Add(trace.Record(), !is_run);
   }
 
   RequestId NextRequest() {
@@ -187,6 +237,8 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  CustomerMetricsTable m_customers;
+  TraceStore m_traces;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -207,4 +259,8 @@
   m_impl->Handle(request, std::move(reply));
 }
 
+std::optional<std::string> EntryService::Explain(RequestId request) const {
+  return m_impl->Explain(request);
+}
+
 }  // namespace jackdawrack
--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -4,6 +4,7 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "policy/direct_plan.h"
 
 namespace jackdawrack {
 namespace {
@@ -57,8 +58,13 @@
   const auto view = m_holder.Get();
   auto collection = view->State().FindCollection(m_spec.m_collection->Name());
   JR_CHECK(collection != nullptr);
-  const QueryPlan plan =
+  QueryPlan plan =
       PlanQuery(*view, *collection, ranges, m_spec.m_domain, m_tried);
+  if (m_spec.m_direct_self) {
+    plan = MakeDirectPlan(std::move(plan), *m_spec.m_direct_self);
+  }
+  m_spec.m_trace->Planned(plan.m_shares.size(), m_merge.IndexVersion(),
+                          SteadyClock().Now());
   for (const KeyRange& range : plan.m_unplaced) {
     m_merge.Miss(range, MissReason::kNoReplica);
   }
@@ -80,6 +86,8 @@
   for (const KeyRange& range : share.m_ranges) {
     m_tried.Add(share.m_owner.m_domain, range);
   }
+  m_spec.m_trace->Sent(share.m_owner.m_id, share.m_ranges.size(),
+                       SteadyClock().Now());
   m_open_calls.emplace(attempt,
                        OpenCall{share.m_owner, RangeSet(share.m_ranges)});
   m_router.Send(share.m_owner, std::move(query),
@@ -95,10 +103,12 @@
   JR_CHECK(answer.m_call.m_request == m_spec.m_request);
   const auto call = m_open_calls.find(answer.m_call.m_attempt);
   if (m_is_finished || call == m_open_calls.end()) {
+    m_spec.m_trace->LateReply();
     LogEvent(EventId::kLateReplyDropped, "request={}",
              m_spec.m_request.ToText());
     return;
   }
+  TraceAnswer(call->second.m_owner.m_id, answer);
   if (RestartOnOtherVersion(answer)) {
     return;
   }
@@ -116,6 +126,16 @@
   FinishIfDone();
 }
 
+void QueryRun::TraceAnswer(const InstanceId& owner, const SubAnswer& answer) {
+  std::map<MissReason, std::size_t> counts;
+  for (const RangeAnswer& range : answer.m_ranges) {
+    ++counts[range.m_reason];
+  }
+  for (const auto& [reason, count] : counts) {
+    m_spec.m_trace->Answered(owner, count, reason, SteadyClock().Now());
+  }
+}
+
 void QueryRun::OnRange(const SubAnswer& answer, const RangeAnswer& range) {
   if (range.m_reason == MissReason::kNone) {
     m_merge.Accept(range.m_range, answer.m_index_version, range.m_rows);
@@ -132,6 +152,7 @@
     return;
   }
   ++m_retry_rounds;
+  m_spec.m_trace->Retried(m_to_retry.size(), SteadyClock().Now());
   SendTo(std::exchange(m_to_retry, {}));
 }
 
@@ -153,6 +174,7 @@
     return false;
   }
   m_was_restarted = true;
+  m_spec.m_trace->Restarted(other, SteadyClock().Now());
   WithdrawOpenCalls();
   m_merge.Restart(other);
   m_tried = TriedDomains();
@@ -192,6 +214,9 @@
   answer.m_rows = m_merge.Rows();
   answer.m_took = SteadyClock().Now() - m_spec.m_started;
   JR_CHECK(answer.m_missing.empty() == m_merge.IsComplete());
+  m_spec.m_trace->Finished(answer.m_missing.size(),
+                           answer.m_missing.empty() ? "complete" : "partial",
+                           SteadyClock().Now());
   m_on_done(std::move(answer));
 }
 
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -5,9 +5,11 @@
 #include <boost/asio/strand.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "entry/caller_request.h"
+#include "entry/request_trace.h"
 #include "model/contract.h"
 #include "peer/peer_router.h"
 #include "policy/fleet_view.h"
@@ -25,6 +27,9 @@
   std::shared_ptr<const CollectionMap> m_collection;
   FailureDomain m_domain;
   TimePoint m_started{};
+  std::shared_ptr<RequestTrace> m_trace;
+  /// This instance, if its domain's owners are passed by.
+  std::optional<Instance> m_direct_self;
 };
 
 /// Runs one query: pins an index version, asks the owners, merges their parts
@@ -52,6 +57,7 @@
   void SendTo(const std::vector<KeyRange>& ranges);
   void SendShare(const OwnerShare& share);
   void OnAnswer(const SubAnswer& answer);
+  void TraceAnswer(const InstanceId& owner, const SubAnswer& answer);
   void OnRange(const SubAnswer& answer, const RangeAnswer& range);
   void RetryMissed();
   bool RestartOnOtherVersion(const SubAnswer& answer);
--- a/packages/model/include/model/instance_settings.h
+++ b/packages/model/include/model/instance_settings.h
@@ -25,6 +25,9 @@
   /// Time that a planned stop goes on accepting, so that the balancer notices.
   std::uint32_t m_balancer_lag_ms = 1000;
   std::size_t m_max_body_bytes = 1 << 20;
+  /// For measurement only: queries go to the own domain's upstreams over this
+  /// instance's own pools instead of their owners.
+  bool m_direct_baseline = false;
 
   /// Parses the text; on any problem the settings may not be used.
   static InstanceSettings Parse(const std::string& file,
--- a/packages/standin/upstreams_main.cpp
+++ b/packages/standin/upstreams_main.cpp
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -19,14 +20,24 @@
   return text.str();
 }
 
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"Stand-ins for all upstreams of some maps, for tests."};
   std::vector<std::string> maps;
   std::uint64_t service_ms = 2;
+  std::string domain;
+  std::vector<std::string> only;
+  std::vector<std::string> except;
   app.add_option("--map", maps, "map INI file; may be repeated")->required();
   app.add_option("--service-ms", service_ms, "time of one request");
+  app.add_option("--domain", domain, "only upstreams of this domain");
+  app.add_option("--only", only, "upstream to serve; may be repeated");
+  app.add_option("--except", except, "upstream to leave out");
   CLI11_PARSE(app, argc, argv);
 
   jackdawrack::WorkerPool workers(kWorkerThreads);
@@ -40,6 +51,13 @@
       return 2;
     }
     for (const jackdawrack::Upstream& upstream : map.Upstreams()) {
+      const std::string& name = upstream.m_id.Text();
+      const bool is_served =
+          (domain.empty() || upstream.m_domain.Text() == domain) &&
+          (only.empty() || Contains(only, name)) && !Contains(except, name);
+      if (!is_served) {
+        continue;
+      }
       jackdawrack::UpstreamStandinSettings settings;
       settings.m_upstream = upstream;
       settings.m_service_time = jackdawrack::Milliseconds(service_ms);
--- /dev/null
+++ b/packages/tool/include/tool/explain_command.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+#include "tool/command.h"
+
+namespace jackdawrack {
+
+/// Shows what was done for one request: what was tried, where, when and why.
+class ExplainCommand final {
+ public:
+  static constexpr const char* kName = "explain";
+
+  void Declare(CLI::App& app);
+  ExitCode Run();
+
+ private:
+  std::string m_request;
+  std::vector<std::string> m_at;
+};
+
+static_assert(Command<ExplainCommand>);
+
+}  // namespace jackdawrack
--- a/packages/tool/src/check_command.cpp
+++ b/packages/tool/src/check_command.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <CLI/CLI.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -38,25 +39,40 @@
   }
 }
 
+std::vector<IniProblem> CheckFile(const std::string& path) {
+  std::vector<IniProblem> problems;
+  std::ifstream stream(path);
+  if (!stream) {
+    problems.push_back(IniProblem{path, "", "", "cannot be read"});
+    return problems;
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  CheckText(path, text.str(), problems);
+  return problems;
+}
+
 }  // namespace
 
-std::size_t RunCheck(const std::vector<std::string>& paths) {
+void CheckCommand::Declare(CLI::App& app) {
+  CLI::App* command = app.add_subcommand(
+      kName, "Checks settings, contracts, maps and instance lists.");
+  command->footer(
+      "Example:\n"
+      "  jackdawrack check examples/coop/instances/*.ini\n"
+      "Exit codes: 0 all files are good, 1 problems were printed, 2 bad use.");
+  command->add_option("files", m_files, "INI files")->required();
+}
+
+ExitCode CheckCommand::Run() {
   std::size_t count = 0;
-  for (const std::string& path : paths) {
-    std::vector<IniProblem> problems;
-    std::ifstream stream(path);
-    if (stream) {
-      std::ostringstream text;
-      text << stream.rdbuf();
-      CheckText(path, text.str(), problems);
-    } else {
-      problems.push_back(IniProblem{path, "", "", "cannot be read"});
-    }
+  for (const std::string& path : m_files) {
+    const std::vector<IniProblem> problems = CheckFile(path);
     fmt::print("{}",
                problems.empty() ? path + ": ok\n" : JoinProblems(problems));
     count += problems.size();
   }
-  return count;
+  return count == 0 ? ExitCode::kOk : ExitCode::kFailed;
 }
 
 }  // namespace jackdawrack
--- /dev/null
+++ b/packages/tool/src/endpoint_option.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <string>
+#include <vector>
+
+#include "model/endpoint.h"
+
+namespace jackdawrack {
+
+/// Accepts IP:PORT; the message names what is accepted.
+[[nodiscard]] CLI::Validator EndpointValidator();
+
+/// Declares `--at`, which may be repeated, for operators' listeners.
+void DeclareInstances(CLI::App& command, std::vector<std::string>& at);
+
+/// The endpoints of texts that `EndpointValidator` has accepted.
+[[nodiscard]] std::vector<Endpoint> ToEndpoints(
+    const std::vector<std::string>& texts);
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/tool/src/explain_command.cpp
@@ -0,0 +1,104 @@
+#include "tool/explain_command.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+
+#include "endpoint_option.h"
+#include "model/request_id.h"
+#include "net/json.h"
+#include "tool/instance_reading.h"
+#include "tool/text_table.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace json = boost::json;
+
+double NumberOf(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  boost::system::error_code error;
+  return value == nullptr ? 0 : value->to_number<double>(error);
+}
+
+// What the count of a step counts.
+std::string Detail(const json::object& step) {
+  const std::string name = JsonText(step, "step");
+  const std::uint64_t count = JsonNumber(step, "count");
+  if (name == "planned") {
+    return fmt::format("{} owners, index version {}", count,
+                       JsonNumber(step, "index_version"));
+  }
+  if (name == "restarted") {
+    return fmt::format("on index version {}",
+                       JsonNumber(step, "index_version"));
+  }
+  if (name == "finished") {
+    return fmt::format("{} ranges missing", count);
+  }
+  const std::string reason = JsonText(step, "reason");
+  if (name == "answered" && reason != "none") {
+    return fmt::format("{} ranges missed: {}", count, reason);
+  }
+  return fmt::format("{} ranges", count);
+}
+
+void PrintTrace(const std::string& at, const json::object& trace) {
+  fmt::print("request {} taken at {}: customer {}, kind {}, outcome {}\n",
+             JsonText(trace, "request"), at, JsonText(trace, "customer"),
+             JsonText(trace, "kind"), JsonText(trace, "outcome"));
+  TextTable table({"ms", "step", "owner", "detail"});
+  const json::value* steps = trace.if_contains("steps");
+  if (steps != nullptr && steps->is_array()) {
+    for (const json::value& item : steps->as_array()) {
+      const json::object& step = item.as_object();
+      table.AddRow({fmt::format("{:.3f}", NumberOf(step, "at_ms")),
+                    JsonText(step, "step"), JsonText(step, "owner"),
+                    Detail(step)});
+    }
+  }
+  fmt::print("{}", table.ToText());
+  const std::uint64_t dropped = JsonNumber(trace, "dropped_steps");
+  if (dropped > 0) {
+    fmt::print("{} further steps were not kept\n", dropped);
+  }
+}
+
+}  // namespace
+
+void ExplainCommand::Declare(CLI::App& app) {
+  CLI::App* command = app.add_subcommand(
+      kName, "Shows what was tried for a request, where, when and why.");
+  command->footer(
+      "Example:\n"
+      "  jackdawrack explain 8f3a1c22d4e5f607-1a --at 127.0.0.1:21300\n"
+      "The id is the member 'request' of an answer. Name the instance that "
+      "took the request, or all of them.\n"
+      "Exit codes: 0 found, 1 not remembered or not read, 2 bad use.");
+  command->add_option("request", m_request, "request id of an answer")
+      ->required()
+      ->check(CLI::Validator(
+          [](const std::string& text) {
+            return RequestId::Parse(text)
+                       ? std::string()
+                       : "'" + text + "': accepted is HEX-HEX";
+          },
+          "ID"));
+  DeclareInstances(*command, m_at);
+}
+
+ExitCode ExplainCommand::Run() {
+  std::vector<InstanceReading> readings =
+      ReadInstances(ToEndpoints(m_at), "/v1/explain/" + m_request);
+  for (const InstanceReading& reading : readings) {
+    const auto trace = ParseJsonObject(reading.m_body);
+    if (reading.m_is_read && trace) {
+      PrintTrace(reading.m_endpoint.ToText(), *trace);
+      return ExitCode::kOk;
+    }
+  }
+  ReportUnread(readings);
+  return ExitCode::kFailed;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/tool/src/status_command.cpp
@@ -0,0 +1,88 @@
+#include "tool/status_command.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+
+#include "endpoint_option.h"
+#include "net/json.h"
+#include "tool/instance_reading.h"
+#include "tool/text_table.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace json = boost::json;
+
+std::string YesNo(const json::object& status, const char* name) {
+  const json::value* value = status.if_contains(name);
+  return value != nullptr && value->is_bool() && value->as_bool() ? "yes"
+                                                                  : "no";
+}
+
+// "portal r1 v7, billing r1 v7"
+std::string Collections(const json::object& status) {
+  std::string text;
+  const json::value* list = status.if_contains("collections");
+  if (list == nullptr || !list->is_array()) {
+    return text;
+  }
+  for (const json::value& item : list->as_array()) {
+    const json::object& collection = item.as_object();
+    text += fmt::format("{}{} r{} v{}", text.empty() ? "" : ", ",
+                        JsonText(collection, "name"),
+                        JsonNumber(collection, "revision"),
+                        JsonNumber(collection, "index_version"));
+  }
+  return text;
+}
+
+std::size_t CountInstances(const json::object& status) {
+  const json::value* list = status.if_contains("instances");
+  return list != nullptr && list->is_array() ? list->as_array().size() : 0;
+}
+
+void AddRow(TextTable& table, InstanceReading& reading) {
+  const auto status = ParseJsonObject(reading.m_body);
+  if (!status) {
+    reading.m_is_read = false;
+    reading.m_problem = "the status is not a JSON object";
+    return;
+  }
+  table.AddRow(
+      {reading.m_endpoint.ToText(), JsonText(*status, "instance"),
+       JsonText(*status, "failure_domain"), JsonText(*status, "version"),
+       YesNo(*status, "ready"), YesNo(*status, "stopping"),
+       fmt::format("{}", JsonNumber(*status, "config_age_ms")),
+       fmt::format("{}", CountInstances(*status)), Collections(*status)});
+}
+
+}  // namespace
+
+void StatusCommand::Declare(CLI::App& app) {
+  CLI::App* command =
+      app.add_subcommand(kName, "Shows the status of instances.");
+  command->footer(
+      "Example:\n"
+      "  jackdawrack status --at 127.0.0.1:21300 --at 127.0.0.1:21301\n"
+      "Columns: config age in ms; sees: instances in its list; r: revision and "
+      "v: index version of each map.\n"
+      "Exit codes: 0 all were read, 1 one could not be read, 2 bad use.");
+  DeclareInstances(*command, m_at);
+}
+
+ExitCode StatusCommand::Run() {
+  std::vector<InstanceReading> readings =
+      ReadInstances(ToEndpoints(m_at), "/v1/status");
+  TextTable table({"at", "instance", "failure domain", "version", "ready",
+                   "stopping", "config age", "sees", "collections"});
+  for (InstanceReading& reading : readings) {
+    if (reading.m_is_read) {
+      AddRow(table, reading);
+    }
+  }
+  fmt::print("{}", table.ToText());
+  return ReportUnread(readings) == 0 ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+}  // namespace jackdawrack
