--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -47,6 +47,10 @@
   entry.m_instance = settings.m_id;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  if (settings.m_direct_baseline) {
+    entry.m_direct_self = Instance{settings.m_id, settings.m_domain,
+                                   settings.m_peers, InstanceState::kLive};
+  }
   return entry;
 }
 
@@ -121,6 +125,10 @@
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
              m_settings.m_callers.ToText());
+    if (m_settings.m_direct_baseline) {
+      LogEvent(EventId::kDirectBaseline, "domain={}",
+               m_settings.m_domain.Text());
+    }
     return boost::outcome_v2::success();
   }
 
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -5,9 +5,12 @@
 #include "admission_table.h"
 #include "caller_codec.h"
 #include "core/event.h"
+#include "customer_metrics.h"
+#include "entry/trace_store.h"
 #include "query_run.h"
 #include "request_run.h"
 #include "share_borrower.h"
+#include "trace_codec.h"
 
 namespace jackdawrack {
 namespace {
@@ -39,7 +42,9 @@
                                                    m_settings.m_domain,
                                                    holder,
                                                    router,
-                                                   m_admission)) {}
+                                                   m_admission)),
+        m_customers(metrics),
+        m_traces(TraceStoreSettings()) {}
 
   void Start() { m_borrower->Start(); }
 
@@ -67,6 +72,14 @@
     }
   }
 
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const {
+    const auto record = m_traces.Find(request);
+    if (!record) {
+      return std::nullopt;
+    }
+    return EncodeTrace(*record);
+  }
+
  private:
   /// The contract, kind and collection that a request falls under.
   struct Terms {
@@ -115,12 +128,12 @@
     const Customer customer = query.assume_value().m_customer;
     const auto terms = FindTerms(customer, query.assume_value().m_kind, true);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(customer, terms.error(), reply);
       return;
     }
     const auto admitted = Admit(*terms.assume_value().m_contract);
     if (!admitted) {
-      Refuse(admitted.error(), reply);
+      RefuseCustomer(customer, admitted.error(), reply);
       return;
     }
     QueryRunSpec spec;
@@ -130,11 +143,14 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
+    const auto trace = MakeTrace(spec.m_request, customer, spec.m_query.m_kind);
+    spec.m_trace = trace;
+    spec.m_direct_self = m_settings.m_direct_self;
     std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
-                               [self = shared_from_this(), customer,
+                               [self = shared_from_this(), customer, trace,
                                 reply](const QueryAnswer& answer) {
                                  self->m_admission.Release(customer);
-                                 self->CountQuery(customer, answer);
+                                 self->FinishQuery(*trace, answer);
                                  reply(EncodeQueryAnswer(answer));
                                })
         ->Start();
@@ -149,13 +165,13 @@
     const CallerRequest& caller = decoded.assume_value();
     const auto terms = FindTerms(caller.m_customer, caller.m_kind, false);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(caller.m_customer, terms.error(), reply);
       return;
     }
     const Terms& found = terms.assume_value();
     const auto admitted = Admit(*found.m_contract);
     if (!admitted) {
-      Refuse(admitted.error(), reply);
+      RefuseCustomer(caller.m_customer, admitted.error(), reply);
       return;
     }
     RunRequest run;
@@ -167,11 +183,14 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
+    const auto trace =
+        MakeTrace(run.m_call.m_request, run.m_customer, run.m_kind);
     std::make_shared<RequestRun>(
-        m_context, m_router, m_holder, m_suspects, std::move(run),
-        [self = shared_from_this(), customer = caller.m_customer,
+        m_context, m_router, m_holder, m_suspects, std::move(run), trace,
+        [self = shared_from_this(), customer = caller.m_customer, trace,
          reply](const RunAnswer& answer) {
           self->m_admission.Release(customer);
+          self->FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         })
         ->Start();
@@ -202,15 +221,42 @@
     reply(EncodeError(error));
   }
 
-  void CountQuery(const Customer& customer, const QueryAnswer& answer) {
-    const std::string label = fmt::format("customer=\"{}\"", customer.Text());
-    m_metrics.HistogramFor("jackdawrack_query_ms", label).Record(answer.m_took);
-    m_metrics.CounterFor("jackdawrack_queries", label).Add();
-    if (!answer.m_missing.empty()) {
-      m_metrics.CounterFor("jackdawrack_partial_queries", label).Add();
+  // Counts a refusal for the customer too, if it has a contract.
+  void RefuseCustomer(const Customer& customer,
+                      const EntryError& error,
+                      const HttpServer::Reply& reply) {
+    if (error.m_code != EntryErrc::kUnknownCustomer) {
+      m_customers.For(customer)->CountRefusal(error.m_code);
+    }
+    Refuse(error, reply);
+  }
+
+  std::shared_ptr<RequestTrace> MakeTrace(RequestId request,
+                                          const Customer& customer,
+                                          const std::string& kind) {
+    const SteadyClock clock;
+    return std::make_shared<RequestTrace>(
+        request, customer, kind, clock.Now(), clock.WallNowMs(),
+        m_customers.For(customer)->LateReplies());
+  }
+
+  void FinishQuery(const RequestTrace& trace, const QueryAnswer& answer) {
+    const TraceRecord& record = trace.Record();
+    m_customers.For(record.m_customer)->CountQuery(answer, trace.Counts());
+    const bool is_partial = !answer.m_missing.empty();
+    if (is_partial) {
       LogEvent(EventId::kAnswerPartial, "request={} coverage={:.4f}",
                answer.m_request.ToText(), answer.m_coverage);
     }
+    m_traces.Add(record, is_partial || trace.Counts() != TraceCounts());
+  }
+
+  void FinishRun(RequestTrace& trace, const RunAnswer& answer) {
+    const bool is_run = answer.m_outcome == Outcome::kRan;
+    trace.Finished(is_run ? 0 : 1, std::string(OutcomeName(answer.m_outcome)),
+                   SteadyClock().Now());
+    m_customers.For(trace.Record().m_customer)->CountRun(answer);
+    m_traces.Add(trace.Record(), !is_run);
   }
 
   RequestId NextRequest() {
@@ -226,6 +272,8 @@
   AdmissionTable m_admission;
   std::shared_ptr<ShareBorrower> m_borrower;
   SuspectList m_suspects;
+  CustomerMetricsTable m_customers;
+  TraceStore m_traces;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -259,4 +307,8 @@
   return m_impl->Lend(borrower, wishes);
 }
 
+std::optional<std::string> EntryService::Explain(RequestId request) const {
+  return m_impl->Explain(request);
+}
+
 }  // namespace jackdawrack
