--- a/packages/entry/include/entry/entry_service.h
+++ b/packages/entry/include/entry/entry_service.h
@@ -35,6 +35,17 @@
   /// forgotten, or if this instance never took it.
   [[nodiscard]] std::optional<std::string> Explain(RequestId request) const;
 
+  /// Starts to borrow parts of contracts from peers.
+  void Start();
+
+  /// True when requests can be admitted here, or when it has been waited for
+  /// long enough that peers confirm this instance.
+  [[nodiscard]] bool IsReady() const;
+
+  /// Lends parts of contracts to a peer.
+  [[nodiscard]] ShareGrants Lend(const InstanceId& borrower,
+                                 const std::vector<ShareWish>& wishes);
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -2,16 +2,19 @@
 
 #include <fmt/format.h>
 
+#include "admission_table.h"
 #include "caller_codec.h"
 #include "core/event.h"
-#include "customer_metrics.h"
-#include "entry/trace_store.h"
 #include "query_run.h"
-#include "trace_codec.h"
+#include "request_recorder.h"
+#include "share_borrower.h"
 
 namespace jackdawrack {
 namespace {
 
+/// Longest time that readiness waits for this instance's part of contracts.
+constexpr Milliseconds kShareWait{6000};
+
 EntryError Refusal(EntryErrc code, std::string message) {
   return MakeError(code, std::move(message));
 }
@@ -30,8 +33,27 @@
         m_holder(holder),
         m_router(router),
         m_metrics(metrics),
-        m_customers(metrics),
-        m_traces(TraceStoreSettings()) {}
+        m_recorder(metrics),
+        m_admission(m_settings.m_instance),
+        m_borrower(std::make_shared<ShareBorrower>(context,
+                                                   m_settings.m_instance,
+                                                   m_settings.m_domain,
+                                                   holder,
+                                                   router,
+                                                   m_admission)) {}
+
+  void Start() { m_borrower->Start(); }
+
+  bool IsReady() {
+    const TimePoint now = SteadyClock().Now();
+    return m_admission.IsBaseUsable(now) || now - m_created_at > kShareWait;
+  }
+
+  ShareGrants Lend(const InstanceId& borrower,
+                   const std::vector<ShareWish>& wishes) {
+    return m_admission.Lend(borrower, wishes, m_holder.Get()->State(),
+                            SteadyClock().Now());
+  }
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -47,11 +69,7 @@
   }
 
   [[nodiscard]] std::optional<std::string> Explain(RequestId request) const {
-    const auto record = m_traces.Find(request);
-    if (!record) {
-      return std::nullopt;
-    }
-    return EncodeTrace(*record);
+    return m_recorder.Explain(request);
   }
 
  private:
@@ -105,6 +123,11 @@
       RefuseCustomer(customer, terms.error(), reply);
       return;
     }
+    const auto admitted = Admit(*terms.assume_value().m_contract);
+    if (!admitted) {
+      RefuseCustomer(customer, admitted.error(), reply);
+      return;
+    }
     QueryRunSpec spec;
     spec.m_request = NextRequest();
     spec.m_query = std::move(query).assume_value();
@@ -112,13 +135,15 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
-    const auto trace = MakeTrace(spec.m_request, customer, spec.m_query.m_kind);
+    const auto trace =
+        m_recorder.Begin(spec.m_request, customer, spec.m_query.m_kind);
     spec.m_trace = trace;
     spec.m_direct_self = m_settings.m_direct_self;
     std::make_shared<QueryRun>(
         m_context, m_router, m_holder, std::move(spec),
         [self = shared_from_this(), trace, reply](const QueryAnswer& answer) {
-          self->FinishQuery(*trace, answer);
+          self->m_admission.Release(trace->Record().m_customer);
+          self->m_recorder.FinishQuery(*trace, answer);
           reply(EncodeQueryAnswer(answer));
         })
         ->Start();
@@ -137,6 +162,11 @@
       return;
     }
     const Terms& found = terms.assume_value();
+    const auto admitted = Admit(*found.m_contract);
+    if (!admitted) {
+      RefuseCustomer(caller.m_customer, admitted.error(), reply);
+      return;
+    }
     RunRequest run;
     run.m_call = CallId{NextRequest(), 1};
     run.m_customer = caller.m_customer;
@@ -146,7 +176,12 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
-    SendRun(found, std::move(run), reply);
+    SendRun(found, std::move(run),
+            [self = shared_from_this(), customer = caller.m_customer,
+             reply](HttpReply answer) {
+              self->m_admission.Release(customer);
+              reply(std::move(answer));
+            });
   }
 
   // Sends the request to the owner in the failure domain of the shard's first
@@ -155,7 +190,7 @@
                RunRequest run,
                const HttpServer::Reply& reply) {
     const auto trace =
-        MakeTrace(run.m_call.m_request, run.m_customer, run.m_kind);
+        m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
     const CollectionMap& collection = *terms.m_collection;
     const std::size_t position = collection.ShardAt(run.m_shard_key);
     const Shard& shard = collection.Shards()[position];
@@ -167,7 +202,7 @@
       answer.m_call = run.m_call;
       answer.m_outcome = Outcome::kNotRun;
       answer.m_reason = "no_owner";
-      FinishRun(*trace, answer);
+      m_recorder.FinishRun(*trace, answer);
       reply(EncodeRunAnswer(answer));
       return;
     }
@@ -175,11 +210,26 @@
     m_router.Send(
         *owner, std::move(run),
         [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
-          self->FinishRun(*trace, answer);
+          self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         });
   }
 
+  // Holds the customer to its contract; nothing has run when it refuses.
+  EntryResult<void> Admit(const Contract& contract) {
+    switch (m_admission.Admit(contract, SteadyClock().Now())) {
+      case AdmissionVerdict::kAdmitted:
+        return boost::outcome_v2::success();
+      case AdmissionVerdict::kOverRate:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's rate_per_second");
+      case AdmissionVerdict::kOverConcurrency:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's concurrency");
+    }
+    return Refusal(EntryErrc::kOverLimit, "over the contract");
+  }
+
   void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
     m_metrics
         .CounterFor("jackdawrack_refusals",
@@ -190,44 +240,14 @@
     reply(EncodeError(error));
   }
 
-  // Counts a refusal for the customer too, if it has a contract.
+  // Counts the refusal for the customer too.
   void RefuseCustomer(const Customer& customer,
                       const EntryError& error,
                       const HttpServer::Reply& reply) {
-    if (error.m_code != EntryErrc::kUnknownCustomer) {
-      m_customers.For(customer)->CountRefusal(error.m_code);
-    }
+    m_recorder.Refuse(customer, error.m_code);
     Refuse(error, reply);
   }
 
-  std::shared_ptr<RequestTrace> MakeTrace(RequestId request,
-                                          const Customer& customer,
-                                          const std::string& kind) {
-    const SteadyClock clock;
-    return std::make_shared<RequestTrace>(
-        request, customer, kind, clock.Now(), clock.WallNowMs(),
-        m_customers.For(customer)->LateReplies());
-  }
-
-  void FinishQuery(const RequestTrace& trace, const QueryAnswer& answer) {
-    const TraceRecord& record = trace.Record();
-    m_customers.For(record.m_customer)->CountQuery(answer, trace.Counts());
-    const bool is_partial = !answer.m_missing.empty();
-    if (is_partial) {
-      LogEvent(EventId::kAnswerPartial, "request={} coverage={:.4f}",
-               answer.m_request.ToText(), answer.m_coverage);
-    }
-    m_traces.Add(record, is_partial || trace.Counts() != TraceCounts());
-  }
-
-  void FinishRun(RequestTrace& trace, const RunAnswer& answer) {
-    const bool is_run = answer.m_outcome == Outcome::kRan;
-    trace.Finished(is_run ? 0 : 1, std::string(OutcomeName(answer.m_outcome)),
-                   SteadyClock().Now());
-    m_customers.For(trace.Record().m_customer)->CountRun(answer);
-    m_traces.Add(trace.Record(), !is_run);
-  }
-
   RequestId NextRequest() {
     return RequestId{m_settings.m_epoch, ++m_last_request};
   }
@@ -237,8 +257,10 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
-  CustomerMetricsTable m_customers;
-  TraceStore m_traces;
+  RequestRecorder m_recorder;
+  const TimePoint m_created_at = SteadyClock().Now();
+  AdmissionTable m_admission;
+  std::shared_ptr<ShareBorrower> m_borrower;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -263,4 +285,17 @@
   return m_impl->Explain(request);
 }
 
+void EntryService::Start() {
+  m_impl->Start();
+}
+
+bool EntryService::IsReady() const {
+  return m_impl->IsReady();
+}
+
+ShareGrants EntryService::Lend(const InstanceId& borrower,
+                               const std::vector<ShareWish>& wishes) {
+  return m_impl->Lend(borrower, wishes);
+}
+
 }  // namespace jackdawrack
