--- a/packages/tool/include/tool/load_report.h
+++ b/packages/tool/include/tool/load_report.h
@@ -26,6 +26,8 @@
   /// Counted time, without the warm-up.
   double m_duration_s = 0;
   std::uint64_t m_seed = 0;
+  /// All requests planned, with those of the warm-up.
+  std::uint64_t m_arrivals = 0;
   /// Arrivals that were still waiting for a connection at the end.
   std::uint64_t m_unsent = 0;
 
--- a/packages/tool/src/load_report.cpp
+++ b/packages/tool/src/load_report.cpp
@@ -61,6 +61,7 @@
   return json::serialize(json::object{
       {"seed", m_seed},
       {"duration_s", m_duration_s},
+      {"arrivals", m_arrivals},
       {"unsent", m_unsent},
       {"rows", RowsToJson(m_rows)},
       {"seconds", RowsToJson(m_seconds)},
--- a/packages/tool/src/load_run.cpp
+++ b/packages/tool/src/load_run.cpp
@@ -202,6 +202,7 @@
     report.m_duration_s =
         Seconds(std::min(m_ends, SteadyClock().Now()) - m_counted_from);
     report.m_seed = m_settings.m_seed;
+    report.m_arrivals = m_arrivals;
     report.m_unsent = m_waiting.size();
     for (std::size_t i = 0; i < m_by_kind.size(); ++i) {
       report.m_rows.push_back(MakeRow(m_settings.m_kinds[i].m_name,
