--- a/packages/entry/include/entry/entry_service.h
+++ b/packages/entry/include/entry/entry_service.h
@@ -31,6 +31,10 @@
   /// Serves `POST /v1/query` and `POST /v1/request`.
   void Handle(const HttpRequest& request, HttpServer::Reply reply);
 
+  /// What was done for a finished request, as JSON; nothing once it is
+  /// forgotten, or if this instance never took it.
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const;
+
   /// Starts to borrow parts of contracts from peers.
   void Start();
 
@@ -42,10 +46,6 @@
   [[nodiscard]] ShareGrants Lend(const InstanceId& borrower,
                                  const std::vector<ShareWish>& wishes);
 
-  /// What was done for a finished request, as JSON; nothing once it is
-  /// forgotten, or if this instance never took it.
-  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const;
-
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -5,12 +5,10 @@
 #include "admission_table.h"
 #include "caller_codec.h"
 #include "core/event.h"
-#include "customer_metrics.h"
-#include "entry/trace_store.h"
 #include "query_run.h"
+#include "request_recorder.h"
 #include "request_run.h"
 #include "share_borrower.h"
-#include "trace_codec.h"
 
 namespace jackdawrack {
 namespace {
@@ -36,15 +34,14 @@
         m_holder(holder),
         m_router(router),
         m_metrics(metrics),
+        m_recorder(metrics),
         m_admission(m_settings.m_instance),
         m_borrower(std::make_shared<ShareBorrower>(context,
                                                    m_settings.m_instance,
                                                    m_settings.m_domain,
                                                    holder,
                                                    router,
-                                                   m_admission)),
-        m_customers(metrics),
-        m_traces(TraceStoreSettings()) {}
+                                                   m_admission)) {}
 
   void Start() { m_borrower->Start(); }
 
@@ -73,11 +70,7 @@
   }
 
   [[nodiscard]] std::optional<std::string> Explain(RequestId request) const {
-    const auto record = m_traces.Find(request);
-    if (!record) {
-      return std::nullopt;
-    }
-    return EncodeTrace(*record);
+    return m_recorder.Explain(request);
   }
 
  private:
@@ -143,16 +136,17 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
-    const auto trace = MakeTrace(spec.m_request, customer, spec.m_query.m_kind);
+    const auto trace =
+        m_recorder.Begin(spec.m_request, customer, spec.m_query.m_kind);
     spec.m_trace = trace;
     spec.m_direct_self = m_settings.m_direct_self;
-    std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
-                               [self = shared_from_this(), customer, trace,
-                                reply](const QueryAnswer& answer) {
-                                 self->m_admission.Release(customer);
-                                 self->FinishQuery(*trace, answer);
-                                 reply(EncodeQueryAnswer(answer));
-                               })
+    std::make_shared<QueryRun>(
+        m_context, m_router, m_holder, std::move(spec),
+        [self = shared_from_this(), trace, reply](const QueryAnswer& answer) {
+          self->m_admission.Release(trace->Record().m_customer);
+          self->m_recorder.FinishQuery(*trace, answer);
+          reply(EncodeQueryAnswer(answer));
+        })
         ->Start();
   }
 
@@ -184,13 +178,13 @@
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
     const auto trace =
-        MakeTrace(run.m_call.m_request, run.m_customer, run.m_kind);
+        m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
     std::make_shared<RequestRun>(
         m_context, m_router, m_holder, m_suspects, std::move(run), trace,
         [self = shared_from_this(), customer = caller.m_customer, trace,
          reply](const RunAnswer& answer) {
           self->m_admission.Release(customer);
-          self->FinishRun(*trace, answer);
+          self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         })
         ->Start();
@@ -221,44 +215,14 @@
     reply(EncodeError(error));
   }
 
-  // Counts a refusal for the customer too, if it has a contract.
+  // Counts the refusal for the customer too.
   void RefuseCustomer(const Customer& customer,
                       const EntryError& error,
                       const HttpServer::Reply& reply) {
-    if (error.m_code != EntryErrc::kUnknownCustomer) {
-      m_customers.For(customer)->CountRefusal(error.m_code);
-    }
+    m_recorder.Refuse(customer, error.m_code);
     Refuse(error, reply);
   }
 
-  std::shared_ptr<RequestTrace> MakeTrace(RequestId request,
-                                          const Customer& customer,
-                                          const std::string& kind) {
-    const SteadyClock clock;
-    return std::make_shared<RequestTrace>(
-        request, customer, kind, clock.Now(), clock.WallNowMs(),
-        m_customers.For(customer)->LateReplies());
-  }
-
-  void FinishQuery(const RequestTrace& trace, const QueryAnswer& answer) {
-    const TraceRecord& record = trace.Record();
-    m_customers.For(record.m_customer)->CountQuery(answer, trace.Counts());
-    const bool is_partial = !answer.m_missing.empty();
-    if (is_partial) {
-      LogEvent(EventId::kAnswerPartial, "request={} coverage={:.4f}",
-               answer.m_request.ToText(), answer.m_coverage);
-    }
-    m_traces.Add(record, is_partial || trace.Counts() != TraceCounts());
-  }
-
-  void FinishRun(RequestTrace& trace, const RunAnswer& answer) {
-    const bool is_run = answer.m_outcome == Outcome::kRan;
-    trace.Finished(is_run ? 0 : 1, std::string(OutcomeName(answer.m_outcome)),
-                   SteadyClock().Now());
-    m_customers.For(trace.Record().m_customer)->CountRun(answer);
-    m_traces.Add(trace.Record(), !is_run);
-  }
-
   RequestId NextRequest() {
     return RequestId{m_settings.m_epoch, ++m_last_request};
   }
@@ -268,12 +232,11 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  RequestRecorder m_recorder;
   const TimePoint m_created_at = SteadyClock().Now();
   AdmissionTable m_admission;
   std::shared_ptr<ShareBorrower> m_borrower;
   SuspectList m_suspects;
-  CustomerMetricsTable m_customers;
-  TraceStore m_traces;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -294,6 +257,10 @@
   m_impl->Handle(request, std::move(reply));
 }
 
+std::optional<std::string> EntryService::Explain(RequestId request) const {
+  return m_impl->Explain(request);
+}
+
 void EntryService::Start() {
   m_impl->Start();
 }
@@ -307,8 +274,4 @@
   return m_impl->Lend(borrower, wishes);
 }
 
-std::optional<std::string> EntryService::Explain(RequestId request) const {
-  return m_impl->Explain(request);
-}
-
 }  // namespace jackdawrack
