--- a/packages/fleet/src/control_metrics.h
+++ b/packages/fleet/src/control_metrics.h
@@ -4,7 +4,12 @@
 
 namespace jackdawrack {
 
-/// Counters of the control plane of one instance.
+/// Bytes that a peer frame adds to the text of a control call or reply: length,
+/// type, number and size.
+inline constexpr std::uint64_t kControlFrameBytes = 24;
+
+/// Counters of the control plane of one instance; bytes are those of frames to
+/// and from peers and of the configuration service's replies.
 struct ControlMetrics final {
   explicit ControlMetrics(MetricsRegistry& registry)
       : m_bytes_sent(
--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <utility>
 
 #include "config_events.h"
 #include "control_metrics.h"
@@ -18,6 +19,9 @@
 
 namespace asio = boost::asio;
 
+/// Least time between two statuses, since one lists every value.
+constexpr Milliseconds kStatusInterval{500};
+
 ControlSettings MakeControlSettings(const InstanceSettings& settings) {
   return ControlSettings{settings.m_id, settings.m_domain, RandomEpoch()};
 }
@@ -108,14 +112,14 @@
               const std::string& request,
               const PeerService::ControlSink& sink) {
     m_metrics.m_calls_received.Add();
-    m_metrics.m_bytes_received.Add(request.size());
+    m_metrics.m_bytes_received.Add(request.size() + kControlFrameBytes);
     std::string reply = m_server.Handle(
         request, [&](const ControlMessage& message) -> ControlMessage {
           NoteExchange();
           return m_policy.OnRequest(caller.m_instance, caller.m_domain, message,
                                     SteadyClock().Now());
         });
-    m_metrics.m_bytes_sent.Add(reply.size());
+    m_metrics.m_bytes_sent.Add(reply.size() + kControlFrameBytes);
     sink(std::move(reply));
     CarryOut();
   }
@@ -153,7 +157,7 @@
   void Call(const ControlSend& send) {
     std::string request = EncodeControlRequest(send.m_message);
     m_metrics.m_calls_sent.Add();
-    m_metrics.m_bytes_sent.Add(request.size());
+    m_metrics.m_bytes_sent.Add(request.size() + kControlFrameBytes);
     m_router.Call(
         send.m_target, std::move(request),
         [self = shared_from_this(), token = send.m_token](std::string text) {
@@ -164,9 +168,9 @@
   }
 
   void OnReply(std::uint64_t token, const std::string& text) {
-    m_metrics.m_bytes_received.Add(text.size());
     const auto reply = DecodeControlReply(text);
     if (reply) {
+      m_metrics.m_bytes_received.Add(text.size() + kControlFrameBytes);
       NoteExchange();
     } else {
       m_metrics.m_calls_failed.Add();
@@ -201,6 +205,9 @@
 
   void OnPlatform(const PlatformResult<PlatformChanges>& changes) {
     const TimePoint now = SteadyClock().Now();
+    const std::uint64_t bytes = m_platform.BytesReceived();
+    m_metrics.m_bytes_received.Add(bytes -
+                                   std::exchange(m_platform_bytes, bytes));
     if (!changes) {
       m_metrics.m_platform_failures.Add();
       if (!m_platform_lost) {
@@ -234,6 +241,11 @@
   }
 
   void PublishStatus() {
+    const TimePoint now = SteadyClock().Now();
+    if (now < m_status_due) {
+      return;
+    }
+    m_status_due = now + kStatusInterval;
     const std::uint64_t marks = m_policy.Members().MarkVersion();
     if (!m_status_changed && marks == m_mark_version &&
         m_status.load()->m_is_joined == m_joined) {
@@ -266,6 +278,7 @@
   PlatformClient m_platform;
   ControlServer m_server;
   ControlPolicy m_policy;
+  std::uint64_t m_platform_bytes = 0;
   bool m_stopped = false;
 
   // What was last logged
@@ -276,6 +289,7 @@
   // What other threads read
   std::uint64_t m_mark_version = 0;
   bool m_status_changed = true;
+  TimePoint m_status_due{};
   std::atomic<std::shared_ptr<const ControlStatus>> m_status;
   std::atomic<bool> m_joined{false};
   std::atomic<TimePoint> m_current_at;
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <utility>
 
 #include "core/check.h"
 #include "core/clock.h"
@@ -16,6 +17,15 @@
 
 constexpr Milliseconds kHeartbeatInterval{300};
 constexpr std::uint64_t kMissedHeartbeatsAllowed = 4;
+
+/// Time after the last request of a caller in which a connection is watched by
+/// heartbeats although no call waits.
+constexpr Milliseconds kHeartbeatLinger{10'000};
+
+/// A connection without any call for this long is closed, so that control calls
+/// to ever other peers leave none behind.
+constexpr Milliseconds kIdleClose{5000};
+
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kReconnectDelay{200};
 constexpr std::size_t kMaxWaitingCalls = 20'000;
@@ -105,6 +115,7 @@
   };
 
   void SendSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall() || m_queries.size() >= kMaxWaitingCalls) {
       sink(FailedAnswer(query, MissReason::kUnreachable));
       return;
@@ -119,6 +130,7 @@
   }
 
   void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall()) {
       sink(FailedAnswer(request, Outcome::kNotRun, "owner_unreachable"));
       return;
@@ -154,7 +166,8 @@
 
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
-    if (m_closed || SteadyClock().Now() < m_no_connect_before) {
+    m_last_call_at = SteadyClock().Now();
+    if (m_closed || m_last_call_at < m_no_connect_before) {
       return false;
     }
     if (m_connection == nullptr && !m_connecting) {
@@ -220,6 +233,18 @@
     if (m_connection == nullptr) {
       return;
     }
+    // Close what nobody needs, and spare heartbeats where no call waits
+    const TimePoint now = SteadyClock().Now();
+    const bool is_in_use = now - m_last_request_at < kHeartbeatLinger;
+    if (!HasWaitingCalls() && !is_in_use) {
+      if (now - m_last_call_at > kIdleClose) {
+        CloseIdle();
+      } else {
+        ScheduleHeartbeat();
+      }
+      return;
+    }
+
     // Check if the connection has gone silent
     if (m_heartbeats_sent - m_heartbeats_answered > kMissedHeartbeatsAllowed) {
       Drop();
@@ -229,6 +254,18 @@
     ScheduleHeartbeat();
   }
 
+  // Forgets the connection first, so that the next call opens another one.
+  void CloseIdle() {
+    m_was_idle = true;
+    m_ready = false;
+    const auto connection = std::exchange(m_connection, nullptr);
+    connection->Close();
+  }
+
+  [[nodiscard]] bool HasWaitingCalls() const {
+    return !m_queries.empty() || !m_runs.empty() || !m_controls.empty();
+  }
+
   void Drop() {
     if (m_connection != nullptr) {
       m_connection->Close();
@@ -277,7 +314,9 @@
       Drop();
       return;
     }
-    LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    if (!std::exchange(m_was_idle, false)) {
+      LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    }
     m_ready = true;
     for (const auto& [call, waiting] : m_queries) {
       m_connection->Send(waiting.m_query);
@@ -349,6 +388,10 @@
   bool m_ready = false;
   bool m_closed = false;
   TimePoint m_no_connect_before{};
+  TimePoint m_last_call_at{};
+  TimePoint m_last_request_at{};
+  /// True from a close for want of calls until the next connection is ready.
+  bool m_was_idle = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
--- a/packages/platform/include/platform/platform_client.h
+++ b/packages/platform/include/platform/platform_client.h
@@ -44,6 +44,9 @@
   /// Calls made so far, waiting watches included.
   [[nodiscard]] std::uint64_t CallCount() const;
 
+  /// Bytes of the reply bodies received so far.
+  [[nodiscard]] std::uint64_t BytesReceived() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/platform/src/platform_client.cpp
@@ -66,6 +66,7 @@
   }
 
   [[nodiscard]] std::uint64_t CallCount() const { return m_calls; }
+  [[nodiscard]] std::uint64_t BytesReceived() const { return m_bytes; }
 
  private:
   PlatformResult<PlatformChanges> OnReply(NetResult<HttpReply> reply) {
@@ -74,6 +75,7 @@
       ++m_next_address;
       return MakeError(PlatformErrc::kUnreachable, reply.error().m_message);
     }
+    m_bytes += reply.assume_value().m_body.size();
     return DecodeChanges(reply.assume_value());
   }
 
@@ -82,6 +84,7 @@
   std::size_t m_next_address = 0;
   std::unique_ptr<HttpClient> m_client;
   std::atomic<std::uint64_t> m_calls{0};
+  std::atomic<std::uint64_t> m_bytes{0};
 };
 
 PlatformClient::PlatformClient(boost::asio::io_context& context,
@@ -100,4 +103,8 @@
   return m_impl->CallCount();
 }
 
+std::uint64_t PlatformClient::BytesReceived() const {
+  return m_impl->BytesReceived();
+}
+
 }  // namespace jackdawrack
--- a/packages/policy/include/policy/control_policy.h
+++ b/packages/policy/include/policy/control_policy.h
@@ -160,8 +160,8 @@
             TimePoint now,
             InstanceId asked_by = {});
   void Stamp(ControlMessage& message,
-             const InstanceId& to,
              const FailureDomain& to_domain,
+             const MemberNotice& receiver,
              TimePoint now);
   void Hear(const FailureDomain& from_domain,
             const ControlMessage& message,
--- a/packages/policy/include/policy/membership.h
+++ b/packages/policy/include/policy/membership.h
@@ -25,8 +25,8 @@
   /// Takes over a published list; marks of unlisted instances are dropped.
   void SetListed(const std::vector<Instance>& instances);
 
-  /// Merges a notice heard from an instance of `from_domain`; true if it is
-  /// news.
+  /// Merges a notice heard from an instance of `from_domain`; true if it
+  /// changes the state that is held of the instance.
   bool Merge(const MemberNotice& notice,
              const FailureDomain& from_domain,
              TimePoint now);
--- a/packages/policy/src/control_exchange.cpp
+++ b/packages/policy/src/control_exchange.cpp
@@ -28,7 +28,7 @@
   // Answer
   ControlMessage reply;
   reply.m_kind = message.m_kind;
-  Stamp(reply, from, from_domain, now);
+  Stamp(reply, from_domain, message.m_sender, now);
   if (message.m_kind == ControlKind::kProbe &&
       message.m_root_hash != reply.m_root_hash) {
     AddBuckets(m_store, reply);
@@ -149,15 +149,18 @@
                          ControlMessage message,
                          TimePoint now,
                          InstanceId asked_by) {
-  Stamp(message, target.m_id, target.m_domain, now);
+  const MemberNotice held = m_members.NoticeOf(target.m_id);
+  Stamp(message, target.m_domain,
+        MemberNotice{target.m_id, MemberState::kAlive, held.m_incarnation},
+        now);
   const std::uint64_t token = ++m_last_token;
   m_pending[token] = Pending{target, message.m_kind, now, std::move(asked_by)};
   m_decisions.m_sends.push_back(ControlSend{target, token, std::move(message)});
 }
 
 void ControlPolicy::Stamp(ControlMessage& message,
-                          const InstanceId& to,
                           const FailureDomain& to_domain,
+                          const MemberNotice& receiver,
                           TimePoint now) {
   message.m_sender = m_members.Self();
   message.m_root_hash = m_store.RootHash();
@@ -169,10 +172,10 @@
         static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0));
   }
 
-  // Tell the receiver what is held of itself, so that it can contradict
-  const MemberNotice of_receiver = m_members.NoticeOf(to);
-  if (of_receiver.m_incarnation > 0) {
-    message.m_notices.push_back(of_receiver);
+  // Tell the receiver what is held of it otherwise than it says of itself
+  const MemberNotice held = m_members.NoticeOf(receiver.m_instance);
+  if (held != receiver) {
+    message.m_notices.push_back(held);
   }
   for (MemberNotice& notice :
        m_members.TakeNews(kNoticesPerMessage, to_domain)) {
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -56,11 +56,12 @@
       !is_from_its_domain) {
     return false;
   }
-  if (!Supersedes(notice, NoticeOf(notice.m_instance))) {
+  const MemberNotice held = NoticeOf(notice.m_instance);
+  if (!Supersedes(notice, held)) {
     return false;
   }
   Set(notice, now);
-  return true;
+  return notice.m_state != held.m_state;
 }
 
 bool Membership::MergeSelf(const MemberNotice& notice) {
--- a/packages/testing/tests/config_spread_test.cpp
+++ b/packages/testing/tests/config_spread_test.cpp
@@ -66,9 +66,29 @@
   return {};
 }
 
+bool IsWatcher(TestFleet& fleet, const std::string& instance) {
+  const auto status =
+      ParseJsonObject(fleet.Operator(instance, "/v1/status").m_body);
+  return status && status->at("config").at("watcher").as_bool();
+}
+
 TEST_CASE("a change outlives the kill of the platform after its first reader") {
-  TestFleet fleet(ThreeDomains("spread-kill"));
+  TestFleetSettings settings = ThreeDomains("spread-kill");
+  settings.m_instances_per_domain = 6;
+  TestFleet fleet(settings);
   fleet.Start();
+
+  // Wait until only the chosen instances watch
+  const TimePoint settled_by = SteadyClock().Now() + 2 * kInForce;
+  std::size_t watchers = 0;
+  while (watchers != 3 * settings.m_domains.size()) {
+    REQUIRE(SteadyClock().Now() < settled_by);
+    watchers = 0;
+    for (const std::string& instance : fleet.InstanceNames()) {
+      watchers += IsWatcher(fleet, instance) ? 1 : 0;
+    }
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
   fleet.PublishContract(2);
   REQUIRE(WaitForCount(fleet, 2, 1));
   fleet.Platform().Kill();
