Tighten the policy tests where mutations survived

Disabled one at a time, these now fail a test: relay along the tree (leaver at 190 instances a domain within 2 s), suspicion taken from other domains (two domains cut apart, seen from a third), the wake-up rule (no peer is suspected for this process's own pause).

--- a/packages/policy/tests/membership_policy_test.cpp
+++ b/packages/policy/tests/membership_policy_test.cpp
@@ -32,6 +32,30 @@
   REQUIRE(fleet.RunUntil(kLeaveSpread, gone) <= kLeaveSpread);
 }
 
+TEST_CASE("a leaver is told in time at the target size of a domain") {
+  SimulatedFleet fleet(2, 190, kSeed);
+  Join(fleet);
+  fleet.Policy(Id(1, 7)).Leave(fleet.Now());
+  const auto gone = [&] { return fleet.AllSee(Id(1, 7), false); };
+  CAPTURE(kSeed);
+  REQUIRE(fleet.RunUntil(kLeaveSpread, gone) <= kLeaveSpread);
+}
+
+TEST_CASE("a third domain goes by its own sight of two that are cut apart") {
+  SimulatedFleet fleet(3, 6, kSeed);
+  Join(fleet);
+  fleet.CutPair(FailureDomain("d0"), FailureDomain("d2"));
+  CAPTURE(kSeed);
+  for (int i = 0; i < 300; ++i) {
+    fleet.Run(Milliseconds(100));
+    for (std::size_t number = 0; number < 6; ++number) {
+      const MemberNotice seen =
+          fleet.At(Id(1, 0)).Members().NoticeOf(Id(2, number));
+      REQUIRE(seen.m_state == MemberState::kAlive);
+    }
+  }
+}
+
 TEST_CASE("a killed instance is noticed and its return too") {
   SimulatedFleet fleet(3, 20, kSeed);
   Join(fleet);
@@ -111,7 +135,11 @@
   SimulatedFleet fleet(3, 6, kSeed);
   Join(fleet);
   const InstanceId id = Id(1, 2);
+  // Calls are in flight when it stops
+  fleet.SetLoss(1);
+  fleet.Run(Milliseconds(900));
   fleet.SetPaused(id, true);
+  fleet.SetLoss(0);
   fleet.Run(Milliseconds(30'000));
   fleet.PublishContract(2, 200);
   fleet.Run(Milliseconds(5000));
@@ -122,6 +150,11 @@
   if (fleet.VersionAt(id) == 1) {
     REQUIRE(*fleet.At(id).CurrentAt() < woken_at - Milliseconds(5000));
   }
+  // It holds nothing against its peers that its own pause brought about
+  for (std::size_t number = 0; number < 6; ++number) {
+    const MemberNotice seen = fleet.At(id).Members().NoticeOf(Id(1, number));
+    REQUIRE(seen.m_state == MemberState::kAlive);
+  }
   CAPTURE(kSeed);
   REQUIRE(fleet.RunUntil(Milliseconds(5000), [&] {
     return fleet.VersionAt(id) == 2 && *fleet.At(id).CurrentAt() > woken_at;
--- a/packages/policy/tests/simulated_fleet.h
+++ b/packages/policy/tests/simulated_fleet.h
@@ -54,6 +54,9 @@
   void CutBetweenDomains(const FailureDomain& domain, bool cut) {
     Toggle(m_cut_domains, domain, cut);
   }
+  void CutPair(const FailureDomain& a, const FailureDomain& b) {
+    m_cut_pairs.insert({std::min(a, b), std::max(a, b)});
+  }
   void CutFromPlatform(const FailureDomain& domain, bool cut) {
     Toggle(m_platform_cuts, domain, cut);
   }
@@ -253,6 +256,14 @@
     }
   }
 
+  [[nodiscard]] bool IsCut(const FailureDomain& a,
+                           const FailureDomain& b) const {
+    const bool is_one_cut =
+        m_cut_domains.contains(a) || m_cut_domains.contains(b);
+    return (a != b && is_one_cut) ||
+           m_cut_pairs.contains({std::min(a, b), std::max(a, b)});
+  }
+
   void DeliverOne(const Delivery& delivery) {
     Node& from = m_nodes.at(delivery.m_from);
     Node& to = m_nodes.at(delivery.m_send.m_target.m_id);
@@ -260,10 +271,8 @@
       return;
     }
     std::uniform_real_distribution<double> chance(0, 1);
-    const bool is_cut = from.m_domain != to.m_domain &&
-                        (m_cut_domains.contains(from.m_domain) ||
-                         m_cut_domains.contains(to.m_domain));
-    if (to.m_paused || is_cut || chance(m_random) < m_loss) {
+    if (to.m_paused || IsCut(from.m_domain, to.m_domain) ||
+        chance(m_random) < m_loss) {
       return;
     }
     std::optional<ControlMessage> reply;
@@ -281,6 +290,7 @@
   std::map<InstanceId, Node> m_nodes;
   std::vector<Delivery> m_deliveries;
   std::set<FailureDomain> m_cut_domains;
+  std::set<std::pair<FailureDomain, FailureDomain>> m_cut_pairs;
   std::set<FailureDomain> m_platform_cuts;
   bool m_platform_up = true;
   double m_loss = 0;
