--- a/packages/fleet/src/config_events.cpp
+++ b/packages/fleet/src/config_events.cpp
@@ -13,16 +13,16 @@
   if (IsContract(name)) {
     return EventId::kContractRefused;
   }
-  return name == "instances" ? EventId::kInstanceListRefused
-                             : EventId::kMapRefused;
+  return name == kInstancesName ? EventId::kInstanceListRefused
+                                : EventId::kMapRefused;
 }
 
 EventId AppliedEvent(const std::string& name) {
   if (IsContract(name)) {
     return EventId::kContractApplied;
   }
-  return name == "instances" ? EventId::kInstanceListApplied
-                             : EventId::kMapApplied;
+  return name == kInstancesName ? EventId::kInstanceListApplied
+                                : EventId::kMapApplied;
 }
 
 }  // namespace
--- a/packages/policy/include/policy/config_store.h
+++ b/packages/policy/include/policy/config_store.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "model/fleet_state.h"
@@ -13,6 +14,9 @@
 
 namespace jackdawrack {
 
+/// Name of the value that lists the instances.
+inline constexpr std::string_view kInstancesName = "instances";
+
 /// What became of a value offered to the store.
 enum class ConfigVerdict {
   /// It is greater than what was there and is in force now.
--- a/packages/policy/src/config_store.cpp
+++ b/packages/policy/src/config_store.cpp
@@ -7,7 +7,6 @@
 
 constexpr std::string_view kContractPrefix = "contracts/";
 constexpr std::string_view kMapPrefix = "map/";
-constexpr std::string_view kInstancesName = "instances";
 
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
--- a/packages/policy/src/control_exchange.cpp
+++ b/packages/policy/src/control_exchange.cpp
@@ -188,19 +188,20 @@
   std::vector<PublishedValue> applied;
   for (const PublishedValue& value : values) {
     ConfigNews news;
+    news.m_value = value;
     const bool had_conflict = m_store.HasConflict(value.m_name);
-    news.m_verdict = m_store.Offer(value, news.m_problems);
+    const ConfigVerdict verdict = m_store.Offer(value, news.m_problems);
+    news.m_verdict = verdict;
     news.m_is_conflict = !had_conflict && m_store.HasConflict(value.m_name);
-    if (news.m_verdict == ConfigVerdict::kApplied) {
-      applied.push_back(value);
-      m_decisions.m_is_view_changed = true;
-    }
-    if (news.m_verdict != ConfigVerdict::kKept || news.m_is_conflict) {
-      news.m_value = value;
+    if (verdict != ConfigVerdict::kKept || news.m_is_conflict) {
       m_decisions.m_news.push_back(std::move(news));
     }
-    if (news.m_verdict == ConfigVerdict::kApplied &&
-        value.m_name == "instances") {
+    if (verdict != ConfigVerdict::kApplied) {
+      continue;
+    }
+    applied.push_back(value);
+    m_decisions.m_is_view_changed = true;
+    if (value.m_name == kInstancesName) {
       m_members.SetListed(m_store.State().m_instances);
     }
   }
--- a/packages/policy/src/control_policy.cpp
+++ b/packages/policy/src/control_policy.cpp
@@ -8,12 +8,6 @@
 #include "policy/spread_plan.h"
 
 namespace jackdawrack {
-namespace {
-
-constexpr std::string_view kInstancesName = "instances";
-
-}  // namespace
-
 ControlPolicy::ControlPolicy(ControlSettings settings, TimePoint now)
     : m_settings(std::move(settings)),
       m_random(m_settings.m_seed),
--- a/packages/policy/tests/config_spread_policy_test.cpp
+++ b/packages/policy/tests/config_spread_policy_test.cpp
@@ -112,6 +112,22 @@
   RequireInForce(fleet, 2);
 }
 
+TEST_CASE("an instance started while the platform is down joins by its peers") {
+  SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
+  Join(fleet);
+  fleet.PublishContract(2, 200);
+  RequireInForce(fleet, 2);
+  fleet.SetPlatformUp(false);
+  fleet.Kill(Id(1, 3));
+  fleet.Run(Milliseconds(20'000));
+  fleet.Start(Id(1, 3));
+  REQUIRE_FALSE(fleet.At(Id(1, 3)).IsJoined());
+  const auto joined = [&] { return fleet.At(Id(1, 3)).IsJoined(); };
+  CAPTURE(kSeed);
+  REQUIRE(fleet.RunUntil(kJoining, joined) <= kJoining);
+  REQUIRE(fleet.VersionAt(Id(1, 3)) == 2);
+}
+
 TEST_CASE("racing operators end with one text on every instance") {
   SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
   Join(fleet);
--- a/packages/testing/tests/config_spread_test.cpp
+++ b/packages/testing/tests/config_spread_test.cpp
@@ -116,6 +116,19 @@
   }
 }
 
+TEST_CASE(
+    "an instance restarted while the platform is down joins by its peers") {
+  TestFleet fleet(ThreeDomains("spread-join"));
+  fleet.Start();
+  fleet.PublishContract(5);
+  REQUIRE(WaitForCount(fleet, 5, fleet.InstanceNames().size()));
+  fleet.Platform().Kill();
+  fleet.Process("south-2").Kill();
+  fleet.StartInstance("south-2");
+  REQUIRE(fleet.WaitReady("south-2"));
+  REQUIRE(ContractVersion(fleet, "south-2") == 5);
+}
+
 TEST_CASE("a platform with an older state reverts nothing and stalls nothing") {
   TestFleet fleet(ThreeDomains("spread-back"));
   fleet.Start();
