--- a/packages/fleet/include/fleet/control_server.h
+++ b/packages/fleet/include/fleet/control_server.h
@@ -20,8 +20,8 @@
   ControlServer(const ControlServer&) = delete;
   ControlServer& operator=(const ControlServer&) = delete;
 
-  /// The reply to `request`: the handler's answer, or a JSON-RPC error if the
-  /// request is malformed.
+  /// The reply to `request`: the handler's answer, or a JSON-RPC error or
+  /// an empty text if the request is malformed.
   [[nodiscard]] std::string Handle(const std::string& request,
                                    const Handler& handler);
 
--- a/packages/fleet/src/control_codec.cpp
+++ b/packages/fleet/src/control_codec.cpp
@@ -22,8 +22,13 @@
       Json::CharReaderBuilder().newCharReader());
   Json::Value reply;
   std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &reply,
-                     &problem)) {
+  try {
+    if (!reader->parse(text.data(), text.data() + text.size(), &reply,
+                       &problem)) {
+      return std::nullopt;
+    }
+  } catch (const Json::Exception&) {
+    // Nested more deeply than jsoncpp reads
     return std::nullopt;
   }
   if (!reply.isObject() || !reply.isMember("result")) {
--- a/packages/fleet/src/control_server.cpp
+++ b/packages/fleet/src/control_server.cpp
@@ -30,7 +30,12 @@
   std::string Handle(const std::string& request, const Handler& handler) {
     m_handler = &handler;
     std::string reply;
-    m_protocol->HandleRequest(request, reply);
+    try {
+      m_protocol->HandleRequest(request, reply);
+    } catch (const Json::Exception&) {
+      // Nested more deeply than jsoncpp reads; an empty reply is an error too
+      reply.clear();
+    }
     m_handler = nullptr;
     return reply;
   }
