Notice a killed instance alike whatever was heard of it before

Also: pushes are split at 1 MB, lone instances begin to watch at random times, and the last instance of a domain owns until it has stopped.

--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -43,7 +43,7 @@
         m_platform(context, settings.m_platform),
         m_policy(MakeControlSettings(settings), SteadyClock().Now()),
         m_status(std::make_shared<const ControlStatus>()),
-        m_current_at(SteadyClock().Now()),
+        m_current_at(TimePoint{}),
         m_last_exchange(SteadyClock().Now()) {}
 
   void Start() {
--- a/packages/policy/include/policy/config_exchange.h
+++ b/packages/policy/include/policy/config_exchange.h
@@ -29,4 +29,8 @@
                const std::vector<std::string>& names,
                ControlMessage& message);
 
+/// Splits values into messages' worth; a value above the limit stands alone.
+[[nodiscard]] std::vector<std::vector<PublishedValue>> SplitValues(
+    const std::vector<PublishedValue>& values);
+
 }  // namespace jackdawrack
--- a/packages/policy/include/policy/control_policy.h
+++ b/packages/policy/include/policy/control_policy.h
@@ -214,6 +214,7 @@
   std::size_t m_next_peer = 0;
 
   // Times
+  const Milliseconds m_isolation_limit;
   TimePoint m_started_at;
   TimePoint m_last_tick;
   TimePoint m_last_heard;
--- a/packages/policy/include/policy/membership.h
+++ b/packages/policy/include/policy/membership.h
@@ -56,7 +56,8 @@
       std::size_t limit,
       const FailureDomain& to_domain);
 
-  /// The listed instances; those that are not live are marked leaving.
+  /// The listed instances; those that are not live are marked leaving. Where a
+  /// domain has no live one, those who announced their leaving stay live.
   [[nodiscard]] const std::vector<Instance>& Instances() const {
     return m_view;
   }
@@ -78,6 +79,8 @@
   [[nodiscard]] bool MayTell(const Mark& mark,
                              const FailureDomain& to_domain) const;
   [[nodiscard]] std::uint32_t Tellings() const;
+  // Lets whoever told an older notice hear the newer one.
+  void TellAgainIfOlder(const MemberNotice& notice, const MemberNotice& held);
   bool MergeSelf(const MemberNotice& notice);
   void Set(const MemberNotice& notice, TimePoint now);
   void RebuildView();
--- a/packages/policy/src/config_exchange.cpp
+++ b/packages/policy/src/config_exchange.cpp
@@ -87,4 +87,20 @@
   }
 }
 
+std::vector<std::vector<PublishedValue>> SplitValues(
+    const std::vector<PublishedValue>& values) {
+  std::vector<std::vector<PublishedValue>> batches;
+  std::size_t bytes = 0;
+  for (const PublishedValue& value : values) {
+    const std::size_t size = value.m_text.size();
+    if (batches.empty() || bytes + size > kMaxMessageValueBytes) {
+      batches.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    batches.back().push_back(value);
+  }
+  return batches;
+}
+
 }  // namespace jackdawrack
--- a/packages/policy/src/control_exchange.cpp
+++ b/packages/policy/src/control_exchange.cpp
@@ -225,14 +225,21 @@
   if (live == m_live.end()) {
     return;
   }
+  // Notices alone make one message
+  std::vector<std::vector<PublishedValue>> batches = SplitValues(values);
+  if (batches.empty()) {
+    batches.emplace_back();
+  }
   for (const Instance& target :
        PushTargets(live->second, root, m_settings.m_id)) {
-    ControlMessage message;
-    message.m_kind = ControlKind::kPush;
-    message.m_tree_root = root;
-    message.m_values = values;
-    message.m_notices = notices;
-    Send(target, std::move(message), now);
+    for (const std::vector<PublishedValue>& batch : batches) {
+      ControlMessage message;
+      message.m_kind = ControlKind::kPush;
+      message.m_tree_root = root;
+      message.m_values = batch;
+      message.m_notices = notices;
+      Send(target, std::move(message), now);
+    }
   }
 }
 
--- a/packages/policy/src/control_policy.cpp
+++ b/packages/policy/src/control_policy.cpp
@@ -13,6 +13,10 @@
       m_random(m_settings.m_seed),
       m_members(m_settings.m_id, m_settings.m_domain),
       m_watch(m_settings.m_seed),
+      m_isolation_limit(
+          kIsolationLimit +
+          Milliseconds(m_random() %
+                       static_cast<std::uint64_t>(kIsolationSpread.count()))),
       m_started_at(now),
       m_last_tick(now),
       m_last_heard(now),
@@ -83,7 +87,7 @@
         static_cast<std::size_t>((age - kStaleLimit) / kEscalationStep);
     watchers += std::min(steps, kMaxExtraWatchers);
   }
-  const bool is_alone = now - m_last_heard > kIsolationLimit;
+  const bool is_alone = now - m_last_heard > m_isolation_limit;
   m_watch.SetWatching(!m_joined || is_alone || m_watcher_rank < watchers);
 }
 
--- a/packages/policy/src/control_timing.h
+++ b/packages/policy/src/control_timing.h
@@ -39,8 +39,10 @@
 inline constexpr Milliseconds kEscalationStep{2000};
 inline constexpr std::size_t kMaxExtraWatchers = 5;
 
-/// An instance that heard from nobody for this long watches by itself.
+/// An instance that heard from nobody for this long, and a random part of the
+/// spread, watches by itself; so many at once do not come in one moment.
 inline constexpr Milliseconds kIsolationLimit{3000};
+inline constexpr Milliseconds kIsolationSpread{4000};
 
 /// Time that an older instance list has to stand at the service before it
 /// replaces the one in force; longer than its replicas lag.
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace jackdawrack {
 namespace {
@@ -9,6 +10,9 @@
 /// A notice is told this many times the logarithm of the fleet's size.
 constexpr std::uint32_t kTellingsPerDoubling = 3;
 
+/// Times that a notice is told after an older one was heard.
+constexpr std::uint32_t kCorrectionTellings = 2;
+
 bool Supersedes(const MemberNotice& offered, const MemberNotice& held) {
   if (offered.m_incarnation != held.m_incarnation) {
     return offered.m_incarnation > held.m_incarnation;
@@ -28,7 +32,7 @@
 
 Membership::Membership(InstanceId self, FailureDomain domain)
     : m_domain(std::move(domain)),
-      m_self{std::move(self), MemberState::kAlive, 1} {}
+      m_self{std::move(self), MemberState::kAlive, 0} {}
 
 void Membership::SetListed(const std::vector<Instance>& instances) {
   m_listed.clear();
@@ -58,12 +62,23 @@
   }
   const MemberNotice held = NoticeOf(notice.m_instance);
   if (!Supersedes(notice, held)) {
+    TellAgainIfOlder(notice, held);
     return false;
   }
   Set(notice, now);
   return notice.m_state != held.m_state;
 }
 
+void Membership::TellAgainIfOlder(const MemberNotice& notice,
+                                  const MemberNotice& held) {
+  if (notice.m_incarnation == held.m_incarnation ||
+      notice.m_state == held.m_state) {
+    return;
+  }
+  Mark& mark = m_marks.at(held.m_instance);
+  mark.m_tellings_left = std::max(mark.m_tellings_left, kCorrectionTellings);
+}
+
 bool Membership::MergeSelf(const MemberNotice& notice) {
   // Contradict what is said of this instance, or of its earlier life
   if (notice.m_incarnation < m_self.m_incarnation ||
@@ -180,13 +195,25 @@
 
 void Membership::RebuildView() {
   m_view.clear();
+  std::set<FailureDomain> with_live;
   for (const auto& [id, instance] : m_listed) {
     Instance seen = instance;
     if (!IsLiveState(NoticeOf(id).m_state)) {
       seen.m_state = InstanceState::kLeaving;
     }
+    if (seen.m_state == InstanceState::kLive) {
+      with_live.insert(seen.m_domain);
+    }
     m_view.push_back(std::move(seen));
   }
+
+  // Let those who leave go on owning where nobody is left to take over
+  for (Instance& seen : m_view) {
+    if (!with_live.contains(seen.m_domain) &&
+        NoticeOf(seen.m_id).m_state == MemberState::kLeaving) {
+      seen.m_state = m_listed.at(seen.m_id).m_state;
+    }
+  }
   ++m_view_version;
   ++m_mark_version;
 }
--- a/packages/policy/tests/config_spread_policy_test.cpp
+++ b/packages/policy/tests/config_spread_policy_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "policy/config_exchange.h"
 #include "simulated_fleet.h"
 
 namespace jackdawrack {
@@ -193,6 +194,23 @@
   REQUIRE(fleet.AllHave(2));
 }
 
+TEST_CASE("no message carries more than the limit but for a single value") {
+  std::vector<PublishedValue> values;
+  for (const std::size_t size : {10, 600'000, 600'000, 2'000'000, 10}) {
+    values.push_back({"map/a", 1, std::string(size, 'x'), 0});
+  }
+  std::vector<PublishedValue> joined;
+  for (const auto& batch : SplitValues(values)) {
+    std::size_t bytes = 0;
+    for (const PublishedValue& value : batch) {
+      bytes += value.m_text.size();
+      joined.push_back(value);
+    }
+    REQUIRE((batch.size() == 1 || bytes <= kMaxMessageValueBytes));
+  }
+  REQUIRE(joined == values);
+}
+
 TEST_CASE("platform calls grow more slowly than the fleet") {
   std::vector<std::uint64_t> calls;
   for (const std::size_t per_domain : {3, 12, 48}) {
--- a/packages/policy/tests/membership_policy_test.cpp
+++ b/packages/policy/tests/membership_policy_test.cpp
@@ -56,18 +56,29 @@
   }
 }
 
-TEST_CASE("a killed instance is noticed and its return too") {
-  SimulatedFleet fleet(3, 20, kSeed);
+TEST_CASE("the last instance of a domain owns until it has stopped") {
+  SimulatedFleet fleet(2, 2, kSeed);
   Join(fleet);
-  fleet.Kill(Id(1, 7));
-  CAPTURE(kSeed);
-  REQUIRE(fleet.RunUntil(kDetection, [&] {
-    return fleet.AllSee(Id(1, 7), false);
-  }) <= kDetection);
-  fleet.Start(Id(1, 7));
-  REQUIRE(fleet.RunUntil(kDetection, [&] {
-    return fleet.AllSee(Id(1, 7), true);
-  }) <= kDetection);
+  fleet.Policy(Id(1, 0)).Leave(fleet.Now());
+  fleet.Run(kLeaveSpread);
+  REQUIRE(fleet.AllSee(Id(1, 0), false));
+  fleet.Policy(Id(1, 1)).Leave(fleet.Now());
+  fleet.Run(kLeaveSpread);
+  REQUIRE(fleet.AllSee(Id(1, 1), true));
+}
+
+TEST_CASE("a killed instance is noticed and its return too") {
+  for (unsigned seed = kSeed; seed < kSeed + 12; ++seed) {
+    CAPTURE(seed);
+    SimulatedFleet fleet(3, 20, seed);
+    Join(fleet);
+    fleet.Kill(Id(1, 7));
+    const auto gone = [&] { return fleet.AllSee(Id(1, 7), false); };
+    REQUIRE(fleet.RunUntil(kDetection, gone) <= kDetection);
+    fleet.Start(Id(1, 7));
+    const auto back = [&] { return fleet.AllSee(Id(1, 7), true); };
+    REQUIRE(fleet.RunUntil(kDetection, back) <= kDetection);
+  }
 }
 
 TEST_CASE("an instance that left and was started again is live") {
