--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -3,9 +3,11 @@
 #include <atomic>
 
 #include "core/metrics.h"
+#include "entry/entry_service.h"
 #include "fleet/control_service.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
+#include "owner/owner_service.h"
 #include "policy/fleet_view.h"
 
 namespace jackdawrack {
@@ -19,6 +21,8 @@
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
               const ControlService& control,
+              const EntryService& entry,
+              const OwnerService& owner,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
@@ -33,6 +37,8 @@
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
   const ControlService& m_control;
+  const EntryService& m_entry;
+  const OwnerService& m_owner;
   const std::atomic<bool>& m_stopping;
 };
 
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -2,13 +2,19 @@
 
 #include <fmt/format.h>
 
+#include "admission_table.h"
 #include "caller_codec.h"
 #include "core/event.h"
 #include "query_run.h"
+#include "request_run.h"
+#include "share_borrower.h"
 
 namespace jackdawrack {
 namespace {
 
+/// Longest time that readiness waits for this instance's part of contracts.
+constexpr Milliseconds kShareWait{6000};
+
 EntryError Refusal(EntryErrc code, std::string message) {
   return MakeError(code, std::move(message));
 }
@@ -26,7 +32,27 @@
         m_settings(std::move(settings)),
         m_holder(holder),
         m_router(router),
-        m_metrics(metrics) {}
+        m_metrics(metrics),
+        m_admission(m_settings.m_instance),
+        m_borrower(std::make_shared<ShareBorrower>(context,
+                                                   m_settings.m_instance,
+                                                   m_settings.m_domain,
+                                                   holder,
+                                                   router,
+                                                   m_admission)) {}
+
+  void Start() { m_borrower->Start(); }
+
+  bool IsReady() {
+    const TimePoint now = SteadyClock().Now();
+    return m_admission.IsBaseUsable(now) || now - m_created_at > kShareWait;
+  }
+
+  ShareGrants Lend(const InstanceId& borrower,
+                   const std::vector<ShareWish>& wishes) {
+    return m_admission.Lend(borrower, wishes, m_holder.Get()->State(),
+                            SteadyClock().Now());
+  }
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -92,6 +118,11 @@
       Refuse(terms.error(), reply);
       return;
     }
+    const auto admitted = Admit(*terms.assume_value().m_contract);
+    if (!admitted) {
+      Refuse(admitted.error(), reply);
+      return;
+    }
     QueryRunSpec spec;
     spec.m_request = NextRequest();
     spec.m_query = std::move(query).assume_value();
@@ -102,6 +133,7 @@
     std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
                                [self = shared_from_this(), customer,
                                 reply](const QueryAnswer& answer) {
+                                 self->m_admission.Release(customer);
                                  self->CountQuery(customer, answer);
                                  reply(EncodeQueryAnswer(answer));
                                })
@@ -121,8 +153,13 @@
       return;
     }
     const Terms& found = terms.assume_value();
+    const auto admitted = Admit(*found.m_contract);
+    if (!admitted) {
+      Refuse(admitted.error(), reply);
+      return;
+    }
     RunRequest run;
-    run.m_call = CallId{NextRequest(), 1};
+    run.m_call = CallId{NextRequest(), 0};
     run.m_customer = caller.m_customer;
     run.m_collection = found.m_collection->Name();
     run.m_kind = caller.m_kind;
@@ -130,31 +167,29 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
-    SendRun(found, std::move(run), reply);
+    std::make_shared<RequestRun>(
+        m_context, m_router, m_holder, m_suspects, std::move(run),
+        [self = shared_from_this(), customer = caller.m_customer,
+         reply](const RunAnswer& answer) {
+          self->m_admission.Release(customer);
+          reply(EncodeRunAnswer(answer));
+        })
+        ->Start();
   }
 
-  // Sends the request to the owner in the failure domain of the shard's first
-  // replica, so that every entry chooses the same owner.
-  void SendRun(const Terms& terms,
-               RunRequest run,
-               const HttpServer::Reply& reply) {
-    const CollectionMap& collection = *terms.m_collection;
-    const std::size_t position = collection.ShardAt(run.m_shard_key);
-    const Shard& shard = collection.Shards()[position];
-    const Upstream& home = collection.Upstreams()[shard.m_replicas.front()];
-    const Instance* owner = terms.m_view->Owners().OwnerOf(
-        collection.Name(), collection.BlockOfShard(position), home.m_domain);
-    if (owner == nullptr) {
-      RunAnswer answer;
-      answer.m_call = run.m_call;
-      answer.m_outcome = Outcome::kNotRun;
-      answer.m_reason = "no_owner";
-      reply(EncodeRunAnswer(answer));
-      return;
+  // Holds the customer to its contract; nothing has run when it refuses.
+  EntryResult<void> Admit(const Contract& contract) {
+    switch (m_admission.Admit(contract, SteadyClock().Now())) {
+      case AdmissionVerdict::kAdmitted:
+        return boost::outcome_v2::success();
+      case AdmissionVerdict::kOverRate:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's rate_per_second");
+      case AdmissionVerdict::kOverConcurrency:
+        return Refusal(EntryErrc::kOverLimit,
+                       "over the contract's concurrency");
     }
-    m_router.Send(*owner, std::move(run), [reply](const RunAnswer& answer) {
-      reply(EncodeRunAnswer(answer));
-    });
+    return Refusal(EntryErrc::kOverLimit, "over the contract");
   }
 
   void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
@@ -187,6 +222,10 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  const TimePoint m_created_at = SteadyClock().Now();
+  AdmissionTable m_admission;
+  std::shared_ptr<ShareBorrower> m_borrower;
+  SuspectList m_suspects;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
@@ -207,4 +246,17 @@
   m_impl->Handle(request, std::move(reply));
 }
 
+void EntryService::Start() {
+  m_impl->Start();
+}
+
+bool EntryService::IsReady() const {
+  return m_impl->IsReady();
+}
+
+ShareGrants EntryService::Lend(const InstanceId& borrower,
+                               const std::vector<ShareWish>& wishes) {
+  return m_impl->Lend(borrower, wishes);
+}
+
 }  // namespace jackdawrack
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -41,13 +41,12 @@
   return answer;
 }
 
-RunAnswer FailedAnswer(const RunRequest& request,
-                       Outcome outcome,
-                       const char* reason) {
+RunAnswer FailedAnswer(const RunRequest& request, bool was_sent) {
   RunAnswer answer;
   answer.m_call = request.m_call;
-  answer.m_outcome = outcome;
-  answer.m_reason = reason;
+  answer.m_outcome = Outcome::kUnknown;
+  answer.m_reason = was_sent ? "owner_lost" : "owner_unreachable";
+  answer.m_is_retryable = !was_sent;
   return answer;
 }
 
@@ -93,6 +92,20 @@
     });
   }
 
+  void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), wishes = std::move(wishes),
+                          sink = std::move(sink)]() mutable {
+      self->SendShareAsk(std::move(wishes), std::move(sink));
+    });
+  }
+
+  void Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), body = std::move(body),
+                          sink = std::move(sink)]() mutable {
+      self->SendLeaseCall(std::move(body), std::move(sink));
+    });
+  }
+
   void Close() {
     asio::post(m_strand, [self = shared_from_this()] {
       self->m_closed = true;
@@ -132,7 +145,7 @@
   void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
     m_last_request_at = SteadyClock().Now();
     if (!PrepareCall()) {
-      sink(FailedAnswer(request, Outcome::kNotRun, "owner_unreachable"));
+      sink(FailedAnswer(request, false));
       return;
     }
     const CallId call = request.m_call;
@@ -164,6 +177,35 @@
     }
   }
 
+  // Drops the ask while the peer is unreachable; asks are repeated often.
+  void SendShareAsk(std::vector<ShareWish> wishes,
+                    PeerService::ShareSink sink) {
+    if (!PrepareCall()) {
+      return;
+    }
+    ShareAsk ask{++m_last_share_ask, std::move(wishes)};
+    m_share_asks.emplace(ask.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(ask);
+    } else {
+      m_unsent_share_asks.push_back(std::move(ask));
+    }
+  }
+
+  void SendLeaseCall(LeaseCallBody body, PeerService::LeaseSink sink) {
+    if (!PrepareCall() || m_lease_calls.size() >= kMaxWaitingCalls) {
+      sink(std::nullopt);
+      return;
+    }
+    LeaseCall call{++m_last_lease_call, std::move(body)};
+    m_lease_calls.emplace(call.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(call);
+    } else {
+      m_unsent_lease_calls.push_back(std::move(call));
+    }
+  }
+
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
     m_last_call_at = SteadyClock().Now();
@@ -289,20 +331,23 @@
     const auto queries = std::exchange(m_queries, {});
     const auto runs = std::exchange(m_runs, {});
     const auto controls = std::exchange(m_controls, {});
+    const auto lease_calls = std::exchange(m_lease_calls, {});
+    m_unsent_lease_calls.clear();
     m_unsent_controls.clear();
+    m_share_asks.clear();
+    m_unsent_share_asks.clear();
     for (const auto& [call, waiting] : queries) {
       waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
     }
     for (const auto& [call, waiting] : runs) {
-      waiting.m_sink(
-          waiting.m_was_sent
-              ? FailedAnswer(waiting.m_request, Outcome::kUnknown, "owner_lost")
-              : FailedAnswer(waiting.m_request, Outcome::kNotRun,
-                             "owner_unreachable"));
+      waiting.m_sink(FailedAnswer(waiting.m_request, waiting.m_was_sent));
     }
     for (const auto& [number, sink] : controls) {
       sink({});
     }
+    for (const auto& [number, sink] : lease_calls) {
+      sink(std::nullopt);
+    }
   }
 
   void On(Hello hello) {
@@ -328,6 +373,14 @@
       m_connection->Send(control);
     }
     m_unsent_controls.clear();
+    for (const ShareAsk& ask : m_unsent_share_asks) {
+      m_connection->Send(ask);
+    }
+    m_unsent_share_asks.clear();
+    for (const LeaseCall& call : m_unsent_lease_calls) {
+      m_connection->Send(call);
+    }
+    m_unsent_lease_calls.clear();
   }
 
   void On(Heartbeat heartbeat) {
@@ -370,11 +423,33 @@
     sink(std::move(reply.m_text));
   }
 
+  void On(ShareReply reply) {
+    const auto found = m_share_asks.find(reply.m_number);
+    if (found == m_share_asks.end()) {
+      return;
+    }
+    const PeerService::ShareSink sink = std::move(found->second);
+    m_share_asks.erase(found);
+    sink(std::move(reply.m_grants));
+  }
+
+  void On(LeaseReply reply) {
+    const auto found = m_lease_calls.find(reply.m_number);
+    if (found == m_lease_calls.end()) {
+      return;
+    }
+    const PeerService::LeaseSink sink = std::move(found->second);
+    m_lease_calls.erase(found);
+    sink(std::move(reply.m_body));
+  }
+
   // Calls do not arrive on a dialled connection.
   void On(const SubQuery&) { Drop(); }
   void On(const jackdawrack::Cancel&) { Drop(); }
   void On(const RunRequest&) { Drop(); }
   void On(const ControlCall&) { Drop(); }
+  void On(const ShareAsk&) { Drop(); }
+  void On(const LeaseCall&) { Drop(); }
 
   const Instance m_target;
   const Hello m_self;
@@ -401,6 +476,12 @@
   std::unordered_map<std::uint64_t, ControlSink> m_controls;
   std::vector<ControlCall> m_unsent_controls;
   std::uint64_t m_last_control = 0;
+  std::unordered_map<std::uint64_t, PeerService::ShareSink> m_share_asks;
+  std::vector<ShareAsk> m_unsent_share_asks;
+  std::uint64_t m_last_share_ask = 0;
+  std::unordered_map<std::uint64_t, PeerService::LeaseSink> m_lease_calls;
+  std::vector<LeaseCall> m_unsent_lease_calls;
+  std::uint64_t m_last_lease_call = 0;
 };
 
 PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
@@ -428,6 +509,15 @@
   m_impl->Call(std::move(text), std::move(sink));
 }
 
+void PeerClient::Ask(std::vector<ShareWish> wishes,
+                     PeerService::ShareSink sink) {
+  m_impl->Ask(std::move(wishes), std::move(sink));
+}
+
+void PeerClient::Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+  m_impl->Call(std::move(body), std::move(sink));
+}
+
 void PeerClient::Close() {
   m_impl->Close();
 }
