--- a/packages/policy/src/control_exchange.cpp
+++ b/packages/policy/src/control_exchange.cpp
@@ -28,7 +28,7 @@
   // Answer
   ControlMessage reply;
   reply.m_kind = message.m_kind;
-  Stamp(reply, from, from_domain, now);
+  Stamp(reply, from_domain, message.m_sender, now);
   if (message.m_kind == ControlKind::kProbe &&
       message.m_root_hash != reply.m_root_hash) {
     AddBuckets(m_store, reply);
@@ -149,15 +149,18 @@
                          ControlMessage message,
                          TimePoint now,
                          InstanceId asked_by) {
-  Stamp(message, target.m_id, target.m_domain, now);
+  const MemberNotice held = m_members.NoticeOf(target.m_id);
+  Stamp(message, target.m_domain,
+        MemberNotice{target.m_id, MemberState::kAlive, held.m_incarnation},
+        now);
   const std::uint64_t token = ++m_last_token;
   m_pending[token] = Pending{target, message.m_kind, now, std::move(asked_by)};
   m_decisions.m_sends.push_back(ControlSend{target, token, std::move(message)});
 }
 
 void ControlPolicy::Stamp(ControlMessage& message,
-                          const InstanceId& to,
                           const FailureDomain& to_domain,
+                          const MemberNotice& receiver,
                           TimePoint now) {
   message.m_sender = m_members.Self();
   message.m_root_hash = m_store.RootHash();
@@ -169,10 +172,10 @@
         static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0));
   }
 
-  // Tell the receiver what is held of itself, so that it can contradict
-  const MemberNotice of_receiver = m_members.NoticeOf(to);
-  if (of_receiver.m_incarnation > 0) {
-    message.m_notices.push_back(of_receiver);
+  // Tell the receiver what is held of it otherwise than it says of itself
+  const MemberNotice held = m_members.NoticeOf(receiver.m_instance);
+  if (held != receiver) {
+    message.m_notices.push_back(held);
   }
   for (MemberNotice& notice :
        m_members.TakeNews(kNoticesPerMessage, to_domain)) {
@@ -185,19 +188,20 @@
   std::vector<PublishedValue> applied;
   for (const PublishedValue& value : values) {
     ConfigNews news;
+    news.m_value = value;
     const bool had_conflict = m_store.HasConflict(value.m_name);
-    news.m_verdict = m_store.Offer(value, news.m_problems);
+    const ConfigVerdict verdict = m_store.Offer(value, news.m_problems);
+    news.m_verdict = verdict;
     news.m_is_conflict = !had_conflict && m_store.HasConflict(value.m_name);
-    if (news.m_verdict == ConfigVerdict::kApplied) {
-      applied.push_back(value);
-      m_decisions.m_is_view_changed = true;
-    }
-    if (news.m_verdict != ConfigVerdict::kKept || news.m_is_conflict) {
-      news.m_value = value;
+    if (verdict != ConfigVerdict::kKept || news.m_is_conflict) {
       m_decisions.m_news.push_back(std::move(news));
     }
-    if (news.m_verdict == ConfigVerdict::kApplied &&
-        value.m_name == "instances") {
+    if (verdict != ConfigVerdict::kApplied) {
+      continue;
+    }
+    applied.push_back(value);
+    m_decisions.m_is_view_changed = true;
+    if (value.m_name == kInstancesName) {
       m_members.SetListed(m_store.State().m_instances);
     }
   }
@@ -221,14 +225,21 @@
   if (live == m_live.end()) {
     return;
   }
+  // Notices alone make one message
+  std::vector<std::vector<PublishedValue>> batches = SplitValues(values);
+  if (batches.empty()) {
+    batches.emplace_back();
+  }
   for (const Instance& target :
        PushTargets(live->second, root, m_settings.m_id)) {
-    ControlMessage message;
-    message.m_kind = ControlKind::kPush;
-    message.m_tree_root = root;
-    message.m_values = values;
-    message.m_notices = notices;
-    Send(target, std::move(message), now);
+    for (const std::vector<PublishedValue>& batch : batches) {
+      ControlMessage message;
+      message.m_kind = ControlKind::kPush;
+      message.m_tree_root = root;
+      message.m_values = batch;
+      message.m_notices = notices;
+      Send(target, std::move(message), now);
+    }
   }
 }
 
