--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -10,6 +10,7 @@
 #include "entry/entry_service.h"
 #include "fleet/config_sync.h"
 #include "net/http_server.h"
+#include "net/outbound_address.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
 #include "peer/peer_router.h"
@@ -84,6 +85,7 @@
   ~Impl() { m_workers.Stop(); }
 
   NetResult<void> Start() {
+    SetOutboundAddress(m_workers.Context(), m_settings.m_outbound_address);
     for (auto start :
          {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
       if (!start) {
--- a/packages/model/include/model/instance_settings.h
+++ b/packages/model/include/model/instance_settings.h
@@ -20,6 +20,9 @@
   Endpoint m_peers;
   /// Listener for operators: readiness, metrics, status.
   Endpoint m_operators;
+  /// Source IP of connections to peers, upstreams and the platform; empty
+  /// leaves the choice to the kernel.
+  std::string m_outbound_address;
   /// Addresses of the configuration service, tried in turn.
   std::vector<Endpoint> m_platform;
   /// Time that a planned stop goes on accepting, so that the balancer notices.
--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -17,6 +17,14 @@
   return *endpoint;
 }
 
+std::string ReadOutboundAddress(IniSectionReader& reader) {
+  const std::string address = reader.Text("outbound_address", "");
+  if (!address.empty() && !Endpoint::Parse(address + ":1")) {
+    reader.Refuse("outbound_address", "accepted is an IP address");
+  }
+  return address;
+}
+
 }  // namespace
 
 InstanceSettings InstanceSettings::Parse(const std::string& file,
@@ -41,6 +49,7 @@
   settings.m_callers = ReadEndpoint(listen, "callers");
   settings.m_peers = ReadEndpoint(listen, "peers");
   settings.m_operators = ReadEndpoint(listen, "operators");
+  settings.m_outbound_address = ReadOutboundAddress(listen);
   settings.m_max_body_bytes =
       listen.Number("max_body_bytes",
                     NumberBounds{kLeastBodyBytes, kGreatestBodyBytes}, 1 << 20);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/check.h"
+#include "net/outbound_address.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -109,6 +110,13 @@
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(m_settings.m_endpoint.m_address, bad_address),
         m_settings.m_endpoint.m_port);
+    if (!m_stream.socket().is_open()) {
+      BindOutboundAddress(m_stream.socket(), bad_address);
+    }
+    if (bad_address) {
+      CloseNow();
+      co_return MakeError(NetErrc::kNotSent, bad_address.message());
+    }
     m_stream.expires_after(std::min(timeout, m_settings.m_connect_timeout));
     const auto [error] = co_await m_stream.async_connect(endpoint, kTuple);
     if (error) {
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -7,6 +7,7 @@
 #include "core/check.h"
 #include "core/clock.h"
 #include "core/event.h"
+#include "net/outbound_address.h"
 #include "peer/peer_connection.h"
 
 namespace jackdawrack {
@@ -170,6 +171,7 @@
         m_target.m_peer_endpoint.m_port);
     m_connecting = true;
     auto socket = std::make_shared<asio::ip::tcp::socket>(m_strand);
+    BindOutboundAddress(*socket, error);
     socket->async_connect(
         endpoint, [self = shared_from_this(), socket](auto connect_error) {
           self->m_connect_timer.cancel();
--- a/packages/testing/include/testing/child_process.h
+++ b/packages/testing/include/testing/child_process.h
@@ -29,6 +29,10 @@
   /// Kills it at once and reaps it.
   void Kill();
 
+  /// True if it has ended by itself; reaps it then.
+  [[nodiscard]] bool HasEnded();
+
+  /// True until it was seen to end.
   [[nodiscard]] bool IsRunning() const { return m_pid > 0; }
   [[nodiscard]] pid_t Pid() const { return m_pid; }
 
--- a/packages/testing/src/child_process.cpp
+++ b/packages/testing/src/child_process.cpp
@@ -67,6 +67,13 @@
   return -1;
 }
 
+bool ChildProcess::HasEnded() {
+  if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+    m_pid = -1;
+  }
+  return m_pid < 0;
+}
+
 void ChildProcess::Kill() {
   if (m_pid > 0) {
     kill(m_pid, SIGKILL);
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint16_t kFirstInstancePlace = 2;
 constexpr std::uint16_t kPlacesPerInstance = 3;
 constexpr std::uint16_t kFirstUpstreamPlace = 150;
+/// The proxy listens for the endpoint at place P at place P + kProxyOffset.
+constexpr std::uint16_t kProxyOffset = 300;
+constexpr std::uint16_t kProxyControlPlace = 300;
+constexpr int kFirstDomainNet = 2;
 constexpr Milliseconds kCallTimeout{10'000};
 constexpr Milliseconds kControlTimeout{5'000};
 constexpr int kReadyPollMs = 10;
@@ -25,6 +29,15 @@
   std::ofstream(path) << text;
 }
 
+std::string LastLine(const std::string& path) {
+  std::ifstream stream(path);
+  std::string last;
+  for (std::string line; std::getline(stream, line);) {
+    last = line;
+  }
+  return last;
+}
+
 std::string BinPath(const std::string& program) {
   return std::string(JACKDAWRACK_BIN_DIR) + "/" + program;
 }
@@ -76,9 +89,17 @@
   JR_CHECK(place <= kFirstUpstreamPlace);
 }
 
-TestFleet::~TestFleet() = default;
+TestFleet::~TestFleet() {
+  if (std::uncaught_exceptions() == 0 && !m_keeps_folder) {
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+  }
+}
 
 void TestFleet::Start() {
+  if (m_settings.m_proxied) {
+    StartProxy();
+  }
   StartPlatform();
   WriteFile(m_folder + "/map.ini", m_map.ToText());
   m_upstreams = std::make_unique<ChildProcess>(
@@ -97,12 +118,81 @@
   }
 }
 
+void TestFleet::StartProxy() {
+  m_proxy = std::make_unique<ChildProcess>(
+      BinPath("standin_proxy"),
+      std::vector<std::string>{"--control", At(kProxyControlPlace).ToText(),
+                               "--seed",
+                               std::to_string(m_settings.m_proxy_seed)},
+      LogPath("proxy"));
+  std::vector<ProxyLink> links;
+  const auto add = [&](const char* kind, const std::string& name,
+                       const std::string& domain, const Endpoint& target) {
+    links.push_back(ProxyLink{name, kind, domain, Published(target), target});
+  };
+  add("platform", "platform", "", PlatformEndpoint());
+  for (const Member& member : m_members) {
+    add("peer", member.m_name, member.m_domain, Peers(member.m_name));
+  }
+  for (const Upstream& upstream : m_map.m_upstreams) {
+    add("upstream", upstream.m_id.Text(), upstream.m_domain.Text(),
+        upstream.m_endpoint);
+  }
+  m_proxy_control = std::make_unique<ProxyControl>(At(kProxyControlPlace));
+  m_proxy_control->AddLinks(links);
+}
+
+void TestFleet::CutDomains(const std::string& a, const std::string& b) {
+  FaultRule there;
+  there.m_match = ProxyMatch{SourceOf(a), "", "", b};
+  FaultRule back;
+  back.m_match = ProxyMatch{SourceOf(b), "", "", a};
+  m_proxy_control->Add({there, back});
+}
+
+void TestFleet::CutPlatform(const std::string& domain) {
+  FaultRule rule;
+  rule.m_match = ProxyMatch{SourceOf(domain), "", "platform", ""};
+  m_proxy_control->Add({rule});
+}
+
+void TestFleet::SilencePeers() {
+  m_proxy_control->Silence(ProxyMatch{"", "", "peer", ""});
+}
+
+void TestFleet::SilenceUpstreams() {
+  m_proxy_control->Silence(ProxyMatch{"", "", "upstream", ""});
+}
+
+std::string TestFleet::SourceOf(const std::string& domain) const {
+  const auto& domains = m_settings.m_domains;
+  const auto found = std::find(domains.begin(), domains.end(), domain);
+  JR_CHECK(found != domains.end());
+  return fmt::format("127.0.{}.1", kFirstDomainNet + (found - domains.begin()));
+}
+
+Endpoint TestFleet::Published(const Endpoint& direct) const {
+  Endpoint published = direct;
+  if (m_settings.m_proxied) {
+    published.m_port += kProxyOffset;
+  }
+  return published;
+}
+
+std::string TestFleet::MapText() const {
+  TestMap published = m_map;
+  for (Upstream& upstream : published.m_upstreams) {
+    upstream.m_endpoint = Published(upstream.m_endpoint);
+  }
+  return published.ToText();
+}
+
 void TestFleet::StartPlatform() {
   const std::string values = m_folder + "/values";
   std::filesystem::create_directories(values + "/contracts");
   std::filesystem::create_directories(values + "/map");
   WriteFile(values + "/contracts/acme.ini", ContractText(1));
-  WriteFile(values + "/map/data.ini", m_map.ToText());
+  WriteFile(values + "/map/data.ini", MapText());
   WriteFile(values + "/instances.ini", InstancesText());
   m_platform = std::make_unique<ChildProcess>(
       BinPath("standin_platform"),
@@ -123,6 +213,16 @@
   }
 }
 
+std::string TestFleet::FirstUnexpectedExit() {
+  for (const Member& member : m_members) {
+    if (member.m_process->IsRunning() && member.m_process->HasEnded()) {
+      return fmt::format("exit: {} ended; its last event: {}", member.m_name,
+                         LastLine(LogPath(member.m_name)));
+    }
+  }
+  return {};
+}
+
 ChildProcess& TestFleet::Process(const std::string& name) {
   return *Find(name).m_process;
 }
@@ -152,7 +252,7 @@
 }
 
 void TestFleet::PublishMap() {
-  Publish("map/data", m_map.ToText());
+  Publish("map/data", MapText());
 }
 
 void TestFleet::PublishContract(std::uint64_t version) {
@@ -196,12 +296,13 @@
 }
 
 HttpReply TestFleet::Operator(const std::string& instance,
-                              const std::string& target) {
+                              const std::string& target,
+                              Milliseconds timeout) {
   HttpRequest request;
   request.m_target = target;
   return CallOrZero(
       At(static_cast<std::uint16_t>(Find(instance).m_first_place + 2)),
-      std::move(request), kControlTimeout);
+      std::move(request), timeout);
 }
 
 void TestFleet::SetUpstream(const std::string& upstream,
@@ -229,6 +330,46 @@
   return count;
 }
 
+ExecutionCounts TestFleet::AllExecutions() {
+  ExecutionCounts total;
+  for (const Upstream& upstream : m_map.m_upstreams) {
+    const boost::json::object counts = UpstreamCounts(upstream.m_id.Text());
+    const auto* executions = counts.if_contains("executions");
+    if (executions == nullptr) {
+      throw std::runtime_error("no counts of " + upstream.m_id.Text());
+    }
+    for (const auto& [key, count] : executions->as_object()) {
+      total[std::string(key)] += count.to_number<std::uint64_t>();
+    }
+  }
+  return total;
+}
+
+std::uint64_t TestFleet::ContractVersion(const std::string& instance,
+                                         Milliseconds timeout) {
+  return ContractNumber(instance, "version", timeout);
+}
+
+std::uint64_t TestFleet::ContractDeadlineMs(const std::string& instance) {
+  return ContractNumber(instance, "deadline_ms", kControlTimeout);
+}
+
+std::uint64_t TestFleet::ContractNumber(const std::string& instance,
+                                        const char* name,
+                                        Milliseconds timeout) {
+  const auto reply =
+      ParseJsonObject(Operator(instance, "/v1/contracts", timeout).m_body);
+  if (!reply || !reply->contains("contracts")) {
+    return 0;
+  }
+  for (const auto& contract : reply->at("contracts").as_array()) {
+    if (JsonText(contract.as_object(), "customer") == "acme") {
+      return JsonNumber(contract.as_object(), name);
+    }
+  }
+  return 0;
+}
+
 Endpoint TestFleet::Callers(const std::string& instance) const {
   return At(Find(instance).m_first_place);
 }
@@ -256,15 +397,20 @@
 
 void TestFleet::WriteInstanceSettings(const Member& member) const {
   const auto place = member.m_first_place;
+  const std::string outbound =
+      m_settings.m_proxied
+          ? fmt::format("outbound_address = {}\n", SourceOf(member.m_domain))
+          : "";
   WriteFile(
       fmt::format("{}/{}.ini", m_folder, member.m_name),
       fmt::format("[instance]\nid = {}\nfailure_domain = {}\n\n[listen]\n"
-                  "callers = {}\npeers = {}\noperators = {}\n\n[platform]\n"
+                  "callers = {}\npeers = {}\noperators = {}\n{}\n[platform]\n"
                   "addresses = {}\n\n[stop]\nbalancer_lag_ms = {}\n",
                   member.m_name, member.m_domain, At(place).ToText(),
                   At(static_cast<std::uint16_t>(place + 1)).ToText(),
-                  At(static_cast<std::uint16_t>(place + 2)).ToText(),
-                  PlatformEndpoint().ToText(), m_settings.m_balancer_lag_ms));
+                  At(static_cast<std::uint16_t>(place + 2)).ToText(), outbound,
+                  Published(PlatformEndpoint()).ToText(),
+                  m_settings.m_balancer_lag_ms));
 }
 
 std::string TestFleet::ContractText(std::uint64_t version) const {
@@ -283,8 +429,8 @@
     }
     text += fmt::format(
         "[instance {}]\nfailure_domain = {}\npeers = {}\nstate = {}\n\n",
-        member.m_name, member.m_domain, Peers(member.m_name).ToText(),
-        member.m_listed_state);
+        member.m_name, member.m_domain,
+        Published(Peers(member.m_name)).ToText(), member.m_listed_state);
   }
   return text;
 }
