--- a/packages/core/include/core/ini.h
+++ b/packages/core/include/core/ini.h
@@ -112,11 +112,19 @@
   /// All sections of this type.
   [[nodiscard]] std::vector<const IniSection*> All(std::string_view type) const;
 
+  /// Reports every section of a type in `named` that has no name, and every
+  /// other section that has one.
+  void CheckNames(std::initializer_list<std::string_view> named,
+                  std::vector<IniProblem>& problems) const;
+
   /// Reports every section whose type is not in `accepted`.
   void RefuseUnknownSections(std::initializer_list<std::string_view> accepted,
                              std::vector<IniProblem>& problems) const;
 
  private:
+  void RefuseEmptyNamedSections(const std::string& text,
+                                std::vector<IniProblem>& problems) const;
+
   std::string m_file;
   std::vector<IniSection> m_sections;
 };
--- a/packages/core/src/ini.cpp
+++ b/packages/core/src/ini.cpp
@@ -12,6 +12,8 @@
 namespace jackdawrack {
 namespace {
 
+constexpr const char* kBlanks = " \t\r\n\v\f";
+
 const IniSection& EmptySection() {
   static const IniSection kEmpty;
   return kEmpty;
@@ -31,6 +33,22 @@
   return section;
 }
 
+// The heading that a line opens, as the parser reads it.
+std::optional<std::string> HeadingOf(const std::string& line) {
+  const std::size_t begin = line.find_first_not_of(kBlanks);
+  if (begin == std::string::npos || line[begin] != '[') {
+    return std::nullopt;
+  }
+  const std::size_t end = line.find(']', begin);
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string heading = line.substr(begin + 1, end - begin - 1);
+  heading.erase(0, heading.find_first_not_of(kBlanks));
+  heading.erase(heading.find_last_not_of(kBlanks) + 1);
+  return heading;
+}
+
 }  // namespace
 
 std::string IniProblem::ToText() const {
@@ -183,9 +201,45 @@
     }
     document.m_sections.push_back(MakeSection(heading, child));
   }
+  document.RefuseEmptyNamedSections(text, problems);
   return document;
 }
 
+// The parser drops sections without keys; the text still shows them.
+void IniDocument::RefuseEmptyNamedSections(
+    const std::string& text,
+    std::vector<IniProblem>& problems) const {
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    const std::optional<std::string> heading = HeadingOf(line);
+    if (!heading || heading->find(' ') == std::string::npos) {
+      continue;
+    }
+    const bool has_keys = std::any_of(m_sections.begin(), m_sections.end(),
+                                      [&](const IniSection& section) {
+                                        return section.Heading() == *heading;
+                                      });
+    if (!has_keys) {
+      problems.push_back(
+          IniProblem{m_file, *heading, "", "the section has no keys"});
+    }
+  }
+}
+
+void IniDocument::CheckNames(std::initializer_list<std::string_view> named,
+                             std::vector<IniProblem>& problems) const {
+  for (const IniSection& section : m_sections) {
+    const bool needs_name =
+        std::find(named.begin(), named.end(), section.m_type) != named.end();
+    if (needs_name == section.m_name.empty()) {
+      problems.push_back(
+          IniProblem{m_file, section.Heading(), "",
+                     needs_name ? "the section needs a name after its type"
+                                : "the section takes no name after its type"});
+    }
+  }
+}
+
 const IniSection& IniDocument::Require(
     std::string_view type,
     std::vector<IniProblem>& problems) const {
--- a/packages/model/src/collection_map.cpp
+++ b/packages/model/src/collection_map.cpp
@@ -103,6 +103,7 @@
                                    std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections({"collection", "upstream", "shard"}, problems);
+  document.CheckNames({"upstream", "shard"}, problems);
 
   // Read the collection's own section
   CollectionMap map;
--- a/packages/model/src/contract.cpp
+++ b/packages/model/src/contract.cpp
@@ -29,6 +29,7 @@
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections({"contract", "limits", "query", "kind"},
                                  problems);
+  document.CheckNames({"kind"}, problems);
   Contract contract;
   contract.m_text = text;
 
--- a/packages/model/src/instance.cpp
+++ b/packages/model/src/instance.cpp
@@ -34,6 +34,7 @@
                                         std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections({"instance"}, problems);
+  document.CheckNames({"instance"}, problems);
   std::vector<Instance> instances;
   for (const IniSection* section : document.All("instance")) {
     instances.push_back(ReadInstance(file, *section, problems));
--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -33,6 +33,7 @@
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections({"instance", "listen", "platform", "stop"},
                                  problems);
+  document.CheckNames({}, problems);
   InstanceSettings settings;
 
   // Read who this instance is
--- a/packages/model/tests/contract_test.cpp
+++ b/packages/model/tests/contract_test.cpp
@@ -27,5 +27,23 @@
   REQUIRE(problems.front().ToText() == "c.ini [limits]: missing section");
 }
 
+TEST_CASE("a kind without keys or name is refused, not passed over") {
+  const std::string good =
+      "[contract]\ncustomer=a\nversion=1\n"
+      "[limits]\ndeadline_ms=5\nrate_per_second=5\nconcurrency=5\n"
+      "[kind look]\ncollection=c\nidempotent=yes\n";
+  std::vector<IniProblem> problems;
+  Contract::Parse("c.ini", good, problems);
+  REQUIRE(problems.empty());
+  Contract::Parse("c.ini", good + "[kind book]\n", problems);
+  REQUIRE(JoinProblems(problems) ==
+          "c.ini [kind book]: the section has no keys\n");
+  problems.clear();
+  Contract::Parse("c.ini", good + "[kind ]\ncollection=c\nidempotent=no\n",
+                  problems);
+  REQUIRE(JoinProblems(problems) ==
+          "c.ini [kind]: the section needs a name after its type\n");
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/testing/include/testing/random_run.h
+++ b/packages/testing/include/testing/random_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 
@@ -15,6 +16,8 @@
   std::uint64_t m_max_steps = 0;
   /// Begins with pairs of faults instead of each alone.
   bool m_only_pairs = false;
+  /// Names of faults that are not drawn.
+  std::vector<std::string> m_without;
 };
 
 /// Runs a fleet of real processes under steady callers and faults drawn from
--- a/packages/testing/src/random_run.cpp
+++ b/packages/testing/src/random_run.cpp
@@ -39,12 +39,24 @@
   return settings;
 }
 
+std::vector<RunFault> DrawnFaults(const std::vector<std::string>& without) {
+  std::vector<RunFault> faults;
+  for (const RunFault fault : AllRunFaults()) {
+    if (std::find(without.begin(), without.end(), RunFaultName(fault)) ==
+        without.end()) {
+      faults.push_back(fault);
+    }
+  }
+  return faults;
+}
+
 /// One run: the fleet, its callers and the schedule.
 class RandomRun final {
  public:
   explicit RandomRun(const RandomRunSettings& settings)
       : m_settings(settings),
         m_random(settings.m_seed),
+        m_faults(DrawnFaults(settings.m_without)),
         m_fleet(MakeFleetSettings(settings.m_seed)),
         m_driver(m_fleet, settings.m_seed + 1) {}
 
@@ -69,7 +81,7 @@
  private:
   std::string RunSteps() {
     const TimePoint end = SteadyClock().Now() + m_settings.m_length;
-    std::vector<RunFault> alone = AllRunFaults();
+    std::vector<RunFault> alone = m_faults;
     std::shuffle(alone.begin(), alone.end(), m_random);
     for (std::uint64_t step = 0; SteadyClock().Now() < end; ++step) {
       if (m_settings.m_max_steps != 0 && step >= m_settings.m_max_steps) {
@@ -86,9 +98,8 @@
   }
 
   std::vector<RunFault> DrawPair() {
-    const std::vector<RunFault> all = AllRunFaults();
-    const RunFault first = all[m_random() % all.size()];
-    return {first, all[m_random() % all.size()]};
+    const RunFault first = m_faults[m_random() % m_faults.size()];
+    return {first, m_faults[m_random() % m_faults.size()]};
   }
 
   std::string RunStep(std::uint64_t step, const std::vector<RunFault>& faults) {
@@ -180,6 +191,7 @@
 
   const RandomRunSettings m_settings;
   std::mt19937_64 m_random;
+  const std::vector<RunFault> m_faults;
   TestFleet m_fleet;
   FaultDriver m_driver;
   std::optional<SteadyCallers> m_callers;
