--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -3,7 +3,8 @@
 #include <atomic>
 
 #include "core/metrics.h"
-#include "fleet/config_sync.h"
+#include "entry/entry_service.h"
+#include "fleet/control_service.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
 #include "policy/fleet_view.h"
@@ -18,7 +19,8 @@
   OperatorApi(const InstanceSettings& settings,
               const FleetViewHolder& holder,
               MetricsRegistry& metrics,
-              const ConfigSync& config,
+              const ControlService& control,
+              const EntryService& entry,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
@@ -32,7 +34,8 @@
   const InstanceSettings& m_settings;
   const FleetViewHolder& m_holder;
   MetricsRegistry& m_metrics;
-  const ConfigSync& m_config;
+  const ControlService& m_control;
+  const EntryService& m_entry;
   const std::atomic<bool>& m_stopping;
 };
 
