--- a/packages/standin/src/proxy_connection.cpp
+++ b/packages/standin/src/proxy_connection.cpp
@@ -5,6 +5,9 @@
 
 namespace asio = boost::asio;
 
+/// Time after which keepalive finds that the other end is gone.
+constexpr Milliseconds kKeepalive{5000};
+
 // Closes so that the other end sees a reset.
 void ResetSocket(asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
@@ -20,7 +23,8 @@
     : m_caller(std::move(caller)),
       m_target(m_caller.get_executor()),
       m_link(std::move(link)),
-      m_plan(plan) {
+      m_plan(plan),
+      m_keepalive_timer(m_caller.get_executor()) {
   boost::system::error_code ignored;
   m_source = m_caller.remote_endpoint(ignored).address().to_string();
   m_caller.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -71,11 +75,7 @@
     return m_plan.DrawDelay(*m_link, m_source);
   };
   const auto on_error = [this] { Reset(); };
-  const auto on_end = [this] {
-    if (m_requests->HasEnded() && m_replies->HasEnded()) {
-      Reset();
-    }
-  };
+  const auto on_end = [this] { OnEnd(); };
   const bool has_frames =
       m_plan.Has(ProxyFault::kShuffleFrames, *m_link, m_source);
   m_requests = std::make_shared<ProxyPump>(m_caller, m_target);
@@ -104,8 +104,26 @@
   }
 }
 
+void ProxyConnection::OnEnd() {
+  if (m_requests->HasEnded() && m_replies->HasEnded()) {
+    Reset();
+    return;
+  }
+  if (!m_is_silent) {
+    return;
+  }
+  // Only its keepalive tells the other end of a silent connection
+  m_keepalive_timer.expires_after(kKeepalive);
+  m_keepalive_timer.async_wait([self = shared_from_this()](auto error) {
+    if (!error) {
+      self->Reset();
+    }
+  });
+}
+
 void ProxyConnection::Reset() {
   m_is_closed = true;
+  m_keepalive_timer.cancel();
   if (m_requests != nullptr) {
     m_requests->Stop();
     m_replies->Stop();
--- a/packages/standin/src/proxy_connection.h
+++ b/packages/standin/src/proxy_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 
 #include "fault_plan.h"
@@ -32,6 +33,7 @@
   void OnConnected(const boost::system::error_code& error);
   void StartPumps();
   void Silence();
+  void OnEnd();
   void Reset();
 
   boost::asio::ip::tcp::socket m_caller;
@@ -42,6 +44,7 @@
   FrameShuffler m_shuffler;
   std::shared_ptr<ProxyPump> m_requests;
   std::shared_ptr<ProxyPump> m_replies;
+  boost::asio::steady_timer m_keepalive_timer;
   bool m_is_silent = false;
   bool m_is_closed = false;
 };
--- a/packages/testing/include/testing/random_run.h
+++ b/packages/testing/include/testing/random_run.h
@@ -16,6 +16,8 @@
   std::uint64_t m_max_steps = 0;
   /// Begins with pairs of faults instead of each alone.
   bool m_only_pairs = false;
+  /// Folder of the programs; that of the build if empty.
+  std::string m_bin_folder;
   /// Names of faults that are not drawn.
   std::vector<std::string> m_without;
 };
--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -29,6 +29,8 @@
   std::string m_limits =
       "deadline_ms = 1000\nrate_per_second = 100000\nconcurrency = 10000\n";
   std::string m_query_terms = "minimum_coverage = 0\n";
+  /// Folder of the programs; that of the build if empty.
+  std::string m_bin_folder;
   /// Peer, upstream and platform connections go through the fault proxy.
   bool m_proxied = false;
   /// Seed of the proxy's random draws.
--- a/packages/testing/random_run_main.cpp
+++ b/packages/testing/random_run_main.cpp
@@ -13,6 +13,7 @@
   app.add_option("--steps", settings.m_max_steps, "most steps; 0: no bound");
   app.add_flag("--only-pairs", settings.m_only_pairs,
                "leave out the round in which each fault is alone");
+  app.add_option("--bin", settings.m_bin_folder, "folder of the programs");
   app.add_option("--without", settings.m_without,
                  "names of faults that are not drawn");
   CLI11_PARSE(app, argc, argv);
--- a/packages/testing/src/random_run.cpp
+++ b/packages/testing/src/random_run.cpp
@@ -22,8 +22,10 @@
 constexpr Milliseconds kRecoveryBound{15'000};
 constexpr Milliseconds kPoll{20};
 
-TestFleetSettings MakeFleetSettings(std::uint64_t seed) {
+TestFleetSettings MakeFleetSettings(const RandomRunSettings& run) {
+  const std::uint64_t seed = run.m_seed;
   TestFleetSettings settings;
+  settings.m_bin_folder = run.m_bin_folder;
   settings.m_name = fmt::format("random-run-{}", seed);
   settings.m_instances_per_domain = 2;
   settings.m_proxied = true;
@@ -57,7 +59,7 @@
       : m_settings(settings),
         m_random(settings.m_seed),
         m_faults(DrawnFaults(settings.m_without)),
-        m_fleet(MakeFleetSettings(settings.m_seed)),
+        m_fleet(MakeFleetSettings(settings)),
         m_driver(m_fleet, settings.m_seed + 1) {}
 
   std::string Run() {
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds kCallTimeout{10'000};
 constexpr Milliseconds kControlTimeout{5'000};
 constexpr int kReadyPollMs = 10;
+constexpr int kControlTries = 50;
+constexpr Milliseconds kControlPause{100};
 
 void WriteFile(const std::string& path, const std::string& text) {
   std::ofstream(path) << text;
@@ -38,8 +40,12 @@
   return last;
 }
 
-std::string BinPath(const std::string& program) {
-  return std::string(JACKDAWRACK_BIN_DIR) + "/" + program;
+std::string BinPath(const TestFleetSettings& settings,
+                    const std::string& program) {
+  const std::string folder = settings.m_bin_folder.empty()
+                                 ? JACKDAWRACK_BIN_DIR
+                                 : settings.m_bin_folder;
+  return folder + "/" + program;
 }
 
 HttpRequest MakePost(const std::string& target, std::string body) {
@@ -63,6 +69,20 @@
   return reply.assume_value();
 }
 
+// Calls a stand-in's control interface, again while its connections are all
+// taken; throws if it stays so.
+HttpReply CallControl(const Endpoint& endpoint, const HttpRequest& request) {
+  for (int attempt = 0; attempt < kControlTries; ++attempt) {
+    HttpReply reply = CallOrZero(endpoint, request, kControlTimeout);
+    if (reply.m_status == 200) {
+      return reply;
+    }
+    std::this_thread::sleep_for(kControlPause);
+  }
+  throw std::runtime_error("no answer from the control of " +
+                           endpoint.ToText());
+}
+
 }  // namespace
 
 TestFleet::TestFleet(TestFleetSettings settings)
@@ -103,7 +123,7 @@
   StartPlatform();
   WriteFile(m_folder + "/map.ini", m_map.ToText());
   m_upstreams = std::make_unique<ChildProcess>(
-      BinPath("standin_upstreams"),
+      BinPath(m_settings, "standin_upstreams"),
       std::vector<std::string>{"--map", m_folder + "/map.ini", "--service-ms",
                                std::to_string(m_settings.m_service_ms)},
       LogPath("upstreams"));
@@ -120,7 +140,7 @@
 
 void TestFleet::StartProxy() {
   m_proxy = std::make_unique<ChildProcess>(
-      BinPath("standin_proxy"),
+      BinPath(m_settings, "standin_proxy"),
       std::vector<std::string>{"--control", At(kProxyControlPlace).ToText(),
                                "--seed",
                                std::to_string(m_settings.m_proxy_seed)},
@@ -195,7 +215,7 @@
   WriteFile(values + "/map/data.ini", MapText());
   WriteFile(values + "/instances.ini", InstancesText());
   m_platform = std::make_unique<ChildProcess>(
-      BinPath("standin_platform"),
+      BinPath(m_settings, "standin_platform"),
       std::vector<std::string>{"--listen", PlatformEndpoint().ToText(),
                                "--values", values},
       LogPath("platform"));
@@ -205,7 +225,7 @@
   for (Member& member : m_members) {
     if (member.m_name == name) {
       member.m_process = std::make_unique<ChildProcess>(
-          BinPath("jackdawrackd"),
+          BinPath(m_settings, "jackdawrackd"),
           std::vector<std::string>{"--settings",
                                    m_folder + "/" + name + ".ini"},
           LogPath(name));
@@ -307,15 +327,14 @@
 
 void TestFleet::SetUpstream(const std::string& upstream,
                             const std::string& json) {
-  (void)CallHttp(m_map.Find(upstream).m_endpoint,
-                 MakePost("/control/set", json), kControlTimeout);
+  (void)CallControl(m_map.Find(upstream).m_endpoint,
+                    MakePost("/control/set", json));
 }
 
 boost::json::object TestFleet::UpstreamCounts(const std::string& upstream) {
   HttpRequest request;
   request.m_target = "/control/counts";
-  const HttpReply reply = CallOrZero(m_map.Find(upstream).m_endpoint,
-                                     std::move(request), kControlTimeout);
+  const HttpReply reply = CallControl(m_map.Find(upstream).m_endpoint, request);
   return ParseJsonObject(reply.m_body).value_or(boost::json::object());
 }
 
