--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -17,6 +17,14 @@
   return *endpoint;
 }
 
+std::string ReadOutboundAddress(IniSectionReader& reader) {
+  const std::string address = reader.Text("outbound_address", "");
+  if (!address.empty() && !Endpoint::Parse(address + ":1")) {
+    reader.Refuse("outbound_address", "accepted is an IP address");
+  }
+  return address;
+}
+
 }  // namespace
 
 InstanceSettings InstanceSettings::Parse(const std::string& file,
@@ -25,6 +33,7 @@
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections(
       {"instance", "listen", "platform", "stop", "baseline"}, problems);
+  document.CheckNames({}, problems);
   InstanceSettings settings;
 
   // Read who this instance is
@@ -41,6 +50,7 @@
   settings.m_callers = ReadEndpoint(listen, "callers");
   settings.m_peers = ReadEndpoint(listen, "peers");
   settings.m_operators = ReadEndpoint(listen, "operators");
+  settings.m_outbound_address = ReadOutboundAddress(listen);
   settings.m_max_body_bytes =
       listen.Number("max_body_bytes",
                     NumberBounds{kLeastBodyBytes, kGreatestBodyBytes}, 1 << 20);
