--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -7,6 +7,7 @@
 #include "fleet/control_service.h"
 #include "model/instance_settings.h"
 #include "net/http_message.h"
+#include "owner/owner_service.h"
 #include "policy/fleet_view.h"
 
 namespace jackdawrack {
@@ -21,6 +22,7 @@
               MetricsRegistry& metrics,
               const ControlService& control,
               const EntryService& entry,
+              const OwnerService& owner,
               const std::atomic<bool>& stopping);
 
   /// Serves /healthz, /readyz, /metrics, /v1/status, /v1/contracts
@@ -38,6 +40,7 @@
   MetricsRegistry& m_metrics;
   const ControlService& m_control;
   const EntryService& m_entry;
+  const OwnerService& m_owner;
   const std::atomic<bool>& m_stopping;
 };
 
--- a/packages/entry/include/entry/request_trace.h
+++ b/packages/entry/include/entry/request_trace.h
@@ -38,6 +38,12 @@
                 std::size_t ranges,
                 MissReason reason,
                 TimePoint now);
+  /// `owner` answered a non-idempotent request; `reason` says why it did not
+  /// run there.
+  void AnsweredRun(const InstanceId& owner,
+                   Outcome outcome,
+                   const std::string& reason,
+                   TimePoint now);
   /// Missed ranges are asked for again.
   void Retried(std::size_t ranges, TimePoint now);
   /// The whole query starts again on another index version.
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -7,6 +7,7 @@
 #include "core/event.h"
 #include "query_run.h"
 #include "request_recorder.h"
+#include "request_run.h"
 #include "share_borrower.h"
 
 namespace jackdawrack {
@@ -168,7 +169,7 @@
       return;
     }
     RunRequest run;
-    run.m_call = CallId{NextRequest(), 1};
+    run.m_call = CallId{NextRequest(), 0};
     run.m_customer = caller.m_customer;
     run.m_collection = found.m_collection->Name();
     run.m_kind = caller.m_kind;
@@ -176,43 +177,16 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
-    SendRun(found, std::move(run),
-            [self = shared_from_this(), customer = caller.m_customer,
-             reply](HttpReply answer) {
-              self->m_admission.Release(customer);
-              reply(std::move(answer));
-            });
-  }
-
-  // Sends the request to the owner in the failure domain of the shard's first
-  // replica, so that every entry chooses the same owner.
-  void SendRun(const Terms& terms,
-               RunRequest run,
-               const HttpServer::Reply& reply) {
     const auto trace =
         m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
-    const CollectionMap& collection = *terms.m_collection;
-    const std::size_t position = collection.ShardAt(run.m_shard_key);
-    const Shard& shard = collection.Shards()[position];
-    const Upstream& home = collection.Upstreams()[shard.m_replicas.front()];
-    const Instance* owner = terms.m_view->Owners().OwnerOf(
-        collection.Name(), collection.BlockOfShard(position), home.m_domain);
-    if (owner == nullptr) {
-      RunAnswer answer;
-      answer.m_call = run.m_call;
-      answer.m_outcome = Outcome::kNotRun;
-      answer.m_reason = "no_owner";
-      m_recorder.FinishRun(*trace, answer);
-      reply(EncodeRunAnswer(answer));
-      return;
-    }
-    trace->Sent(owner->m_id, 1, SteadyClock().Now());
-    m_router.Send(
-        *owner, std::move(run),
+    std::make_shared<RequestRun>(
+        m_context, m_router, m_holder, m_suspects, std::move(run), trace,
         [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
+          self->m_admission.Release(trace->Record().m_customer);
           self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
-        });
+        })
+        ->Start();
   }
 
   // Holds the customer to its contract; nothing has run when it refuses.
@@ -261,6 +235,7 @@
   const TimePoint m_created_at = SteadyClock().Now();
   AdmissionTable m_admission;
   std::shared_ptr<ShareBorrower> m_borrower;
+  SuspectList m_suspects;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
--- a/packages/entry/src/trace_codec.cpp
+++ b/packages/entry/src/trace_codec.cpp
@@ -21,6 +21,9 @@
   if (step.m_kind == TraceStepKind::kAnswered) {
     object["reason"] = MissReasonName(step.m_reason);
   }
+  if (!step.m_note.empty()) {
+    object["note"] = step.m_note;
+  }
   if (step.m_index_version != 0) {
     object["index_version"] = step.m_index_version;
   }
--- a/packages/peer/include/peer/peer_router.h
+++ b/packages/peer/include/peer/peer_router.h
@@ -39,6 +39,11 @@
            std::vector<ShareWish> wishes,
            PeerService::ShareSink sink);
 
+  /// Sends a call about leases.
+  void Call(const Instance& target,
+            LeaseCallBody body,
+            PeerService::LeaseSink sink);
+
   /// Closes every connection.
   void Close();
 
