--- a/packages/policy/include/policy/control_policy.h
+++ b/packages/policy/include/policy/control_policy.h
@@ -160,8 +160,8 @@
             TimePoint now,
             InstanceId asked_by = {});
   void Stamp(ControlMessage& message,
-             const InstanceId& to,
              const FailureDomain& to_domain,
+             const MemberNotice& receiver,
              TimePoint now);
   void Hear(const FailureDomain& from_domain,
             const ControlMessage& message,
@@ -214,6 +214,7 @@
   std::size_t m_next_peer = 0;
 
   // Times
+  const Milliseconds m_isolation_limit;
   TimePoint m_started_at;
   TimePoint m_last_tick;
   TimePoint m_last_heard;
--- a/packages/policy/tests/membership_policy_test.cpp
+++ b/packages/policy/tests/membership_policy_test.cpp
@@ -32,18 +32,53 @@
   REQUIRE(fleet.RunUntil(kLeaveSpread, gone) <= kLeaveSpread);
 }
 
-TEST_CASE("a killed instance is noticed and its return too") {
-  SimulatedFleet fleet(3, 20, kSeed);
+TEST_CASE("a leaver is told in time at the target size of a domain") {
+  SimulatedFleet fleet(2, 190, kSeed);
   Join(fleet);
-  fleet.Kill(Id(1, 7));
+  fleet.Policy(Id(1, 7)).Leave(fleet.Now());
+  const auto gone = [&] { return fleet.AllSee(Id(1, 7), false); };
   CAPTURE(kSeed);
-  REQUIRE(fleet.RunUntil(kDetection, [&] {
-    return fleet.AllSee(Id(1, 7), false);
-  }) <= kDetection);
-  fleet.Start(Id(1, 7));
-  REQUIRE(fleet.RunUntil(kDetection, [&] {
-    return fleet.AllSee(Id(1, 7), true);
-  }) <= kDetection);
+  REQUIRE(fleet.RunUntil(kLeaveSpread, gone) <= kLeaveSpread);
+}
+
+TEST_CASE("a third domain goes by its own sight of two that are cut apart") {
+  SimulatedFleet fleet(3, 6, kSeed);
+  Join(fleet);
+  fleet.CutPair(FailureDomain("d0"), FailureDomain("d2"));
+  CAPTURE(kSeed);
+  for (int i = 0; i < 300; ++i) {
+    fleet.Run(Milliseconds(100));
+    for (std::size_t number = 0; number < 6; ++number) {
+      const MemberNotice seen =
+          fleet.At(Id(1, 0)).Members().NoticeOf(Id(2, number));
+      REQUIRE(seen.m_state == MemberState::kAlive);
+    }
+  }
+}
+
+TEST_CASE("the last instance of a domain owns until it has stopped") {
+  SimulatedFleet fleet(2, 2, kSeed);
+  Join(fleet);
+  fleet.Policy(Id(1, 0)).Leave(fleet.Now());
+  fleet.Run(kLeaveSpread);
+  REQUIRE(fleet.AllSee(Id(1, 0), false));
+  fleet.Policy(Id(1, 1)).Leave(fleet.Now());
+  fleet.Run(kLeaveSpread);
+  REQUIRE(fleet.AllSee(Id(1, 1), true));
+}
+
+TEST_CASE("a killed instance is noticed and its return too") {
+  for (unsigned seed = kSeed; seed < kSeed + 12; ++seed) {
+    CAPTURE(seed);
+    SimulatedFleet fleet(3, 20, seed);
+    Join(fleet);
+    fleet.Kill(Id(1, 7));
+    const auto gone = [&] { return fleet.AllSee(Id(1, 7), false); };
+    REQUIRE(fleet.RunUntil(kDetection, gone) <= kDetection);
+    fleet.Start(Id(1, 7));
+    const auto back = [&] { return fleet.AllSee(Id(1, 7), true); };
+    REQUIRE(fleet.RunUntil(kDetection, back) <= kDetection);
+  }
 }
 
 TEST_CASE("an instance that left and was started again is live") {
@@ -111,7 +146,11 @@
   SimulatedFleet fleet(3, 6, kSeed);
   Join(fleet);
   const InstanceId id = Id(1, 2);
+  // Calls are in flight when it stops
+  fleet.SetLoss(1);
+  fleet.Run(Milliseconds(900));
   fleet.SetPaused(id, true);
+  fleet.SetLoss(0);
   fleet.Run(Milliseconds(30'000));
   fleet.PublishContract(2, 200);
   fleet.Run(Milliseconds(5000));
@@ -122,6 +161,11 @@
   if (fleet.VersionAt(id) == 1) {
     REQUIRE(*fleet.At(id).CurrentAt() < woken_at - Milliseconds(5000));
   }
+  // It holds nothing against its peers that its own pause brought about
+  for (std::size_t number = 0; number < 6; ++number) {
+    const MemberNotice seen = fleet.At(id).Members().NoticeOf(Id(1, number));
+    REQUIRE(seen.m_state == MemberState::kAlive);
+  }
   CAPTURE(kSeed);
   REQUIRE(fleet.RunUntil(Milliseconds(5000), [&] {
     return fleet.VersionAt(id) == 2 && *fleet.At(id).CurrentAt() > woken_at;
