--- a/packages/entry/include/entry/trace_step.h
+++ b/packages/entry/include/entry/trace_step.h
@@ -57,6 +57,8 @@
   std::uint64_t m_index_version = 0;
   /// The owner that was asked or that answered; empty if none.
   InstanceId m_owner;
+  /// Outcome and reason of a non-idempotent request; empty of a query.
+  std::string m_note;
 
   friend bool operator==(const TraceStep&, const TraceStep&) = default;
 };
--- a/packages/entry/src/request_run.cpp
+++ b/packages/entry/src/request_run.cpp
@@ -84,9 +84,12 @@
                           std::uint32_t attempt,
                           RunAnswer answer) {
   if (m_on_done == nullptr || attempt != m_request.m_call.m_attempt) {
+    m_trace->LateReply();
     return;
   }
   m_asked.reset();
+  m_trace->AnsweredRun(target, answer.m_outcome, answer.m_reason,
+                       SteadyClock().Now());
   const bool is_unreachable =
       answer.m_reason == "owner_unreachable" || answer.m_reason == "owner_lost";
   if (is_unreachable) {
