Relay a pushed change also behind watchers that read it themselves

It now takes over the push that waits.

Lease and share calls count as waiting calls of a peer connection, so that it is not closed as idle under them.

--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -305,7 +305,8 @@
   }
 
   [[nodiscard]] bool HasWaitingCalls() const {
-    return !m_queries.empty() || !m_runs.empty() || !m_controls.empty();
+    return !m_queries.empty() || !m_runs.empty() || !m_controls.empty() ||
+           !m_share_asks.empty() || !m_lease_calls.empty();
   }
 
   void Drop() {
--- a/packages/policy/include/policy/control_policy.h
+++ b/packages/policy/include/policy/control_policy.h
@@ -183,7 +183,8 @@
              const std::vector<MemberNotice>& notices,
              TimePoint now);
   void RunDeferredPushes(TimePoint now);
-  void ForgetDeferred(const std::vector<PublishedValue>& values);
+  std::vector<PublishedValue> TakeDeferred(
+      const std::vector<PublishedValue>& values);
   void Confirm(TimePoint as_of);
 
   // Fleet
--- a/packages/policy/src/control_exchange.cpp
+++ b/packages/policy/src/control_exchange.cpp
@@ -125,8 +125,11 @@
                              const ControlMessage& message,
                              std::vector<MemberNotice> news,
                              TimePoint now) {
-  const std::vector<PublishedValue> applied = Offer(message.m_values);
-  ForgetDeferred(message.m_values);
+  std::vector<PublishedValue> applied = Offer(message.m_values);
+
+  // A push that waits for its turn here is taken over by this one
+  const std::vector<PublishedValue> deferred = TakeDeferred(message.m_values);
+  applied.insert(applied.end(), deferred.begin(), deferred.end());
   RefreshView();
   const bool is_tree = !message.m_tree_root.IsEmpty();
 
@@ -255,14 +258,22 @@
   PushFromHere(std::move(due), now);
 }
 
-void ControlPolicy::ForgetDeferred(const std::vector<PublishedValue>& values) {
+std::vector<PublishedValue> ControlPolicy::TakeDeferred(
+    const std::vector<PublishedValue>& values) {
+  std::vector<PublishedValue> taken;
   for (DeferredPush& push : m_deferred) {
     std::erase_if(push.m_values, [&](const PublishedValue& deferred) {
-      return std::find(values.begin(), values.end(), deferred) != values.end();
+      const bool is_named =
+          std::find(values.begin(), values.end(), deferred) != values.end();
+      if (is_named) {
+        taken.push_back(deferred);
+      }
+      return is_named;
     });
   }
   std::erase_if(m_deferred,
                 [](const DeferredPush& push) { return push.m_values.empty(); });
+  return taken;
 }
 
 }  // namespace jackdawrack
--- a/packages/policy/tests/config_spread_policy_test.cpp
+++ b/packages/policy/tests/config_spread_policy_test.cpp
@@ -47,6 +47,23 @@
   RequireInForce(fleet, 2);
 }
 
+TEST_CASE("the tree alone reaches every instance, also behind other watchers") {
+  // The last watcher pushes after its turns; then come a few hops of 8 ms
+  constexpr Milliseconds kByTree{500};
+  // Sizes of domain move the watchers to other places in the tree
+  for (std::size_t size = 20; size < 60; size += 8) {
+    CAPTURE(kSeed, size);
+    SimulatedFleet fleet(kDomains, size, kSeed);
+    Join(fleet);
+    for (std::uint64_t version = 2; version < 5; ++version) {
+      fleet.PublishContract(version, 200);
+      const auto done = [&] { return fleet.AllHave(version); };
+      REQUIRE(fleet.RunUntil(kInForce, done) <= kByTree);
+      fleet.Run(Milliseconds(1000));
+    }
+  }
+}
+
 TEST_CASE("a change spreads over lossy links") {
   SimulatedFleet fleet(kDomains, kPerDomain, kSeed);
   Join(fleet);
