--- a/packages/core/include/core/ranked_mutex.h
+++ b/packages/core/include/core/ranked_mutex.h
@@ -13,6 +13,7 @@
   kOwnerTable = 50,
   kUpstreamTable = 60,
   kLimits = 70,
+  kQueryTables = 75,
   kTrace = 80,
   kMetrics = 90,
 };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -37,6 +37,7 @@
   EntrySettings entry;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  entry.m_query_policy = settings.m_query_policy;
   return entry;
 }
 
@@ -57,7 +58,11 @@
         m_hello(MakeHello(m_settings)),
         m_workers(m_settings.m_worker_threads),
         m_config(m_workers.Context(), m_settings, m_holder),
-        m_owner(m_workers.Context(), m_settings.m_domain, m_holder, m_metrics),
+        m_owner(m_workers.Context(),
+                m_settings.m_domain,
+                m_holder,
+                m_settings.m_query_policy,
+                m_metrics),
         m_router(m_workers.Context(), m_hello, MakeService()),
         m_entry(m_workers.Context(),
                 MakeEntrySettings(m_settings, m_hello.m_epoch),
--- a/packages/entry/include/entry/entry_settings.h
+++ b/packages/entry/include/entry/entry_settings.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 
 #include "model/ids.h"
+#include "model/query_policy_settings.h"
 
 namespace jackdawrack {
 
@@ -13,6 +14,7 @@
   std::uint64_t m_epoch = 0;
   std::size_t m_max_idempotency_key_bytes = 128;
   std::size_t m_max_ranges = 4096;
+  QueryPolicySettings m_query_policy;
 };
 
 }  // namespace jackdawrack
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -26,7 +26,8 @@
         m_settings(std::move(settings)),
         m_holder(holder),
         m_router(router),
-        m_metrics(metrics) {}
+        m_metrics(metrics),
+        m_query_tables(m_settings.m_query_policy, metrics) {}
 
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply) {
     if (request.m_method == "POST" && request.m_target == "/v1/query") {
@@ -99,7 +100,8 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
-    std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
+    std::make_shared<QueryRun>(m_context, m_router, m_holder, m_query_tables,
+                               std::move(spec),
                                [self = shared_from_this(), customer,
                                 reply](const QueryAnswer& answer) {
                                  self->CountQuery(customer, answer);
@@ -187,6 +189,7 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  QueryTables m_query_tables;
   std::atomic<std::uint64_t> m_last_request{0};
 };
 
--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -11,15 +11,27 @@
 namespace asio = boost::asio;
 
 /// Rounds in which missing ranges are asked for again.
-constexpr std::uint32_t kMaxRetryRounds = 2;
+constexpr std::uint32_t kMaxReplanRounds = 4;
+
+/// Wait before the second and each later round, so that a changing map can
+/// arrive.
+constexpr Milliseconds kReplanDelay{25};
 
 /// Kept back from the deadline to send the answer.
 constexpr Milliseconds kAnswerReserve{5};
 
-bool IsWorthRetrying(MissReason reason) {
+/// Least time left in which asking again can still help.
+constexpr Milliseconds kLeastRetryTime{10};
+
+/// Transport time kept back from an owner, by where it is.
+constexpr Milliseconds kLocalHopReserve{1};
+constexpr Milliseconds kRemoteHopReserve{4};
+
+// True when the reason proves that no upstream ran the work.
+bool ProvesNotRun(MissReason reason) {
   return reason == MissReason::kUnreachable ||
          reason == MissReason::kNotOwned || reason == MissReason::kNoReplica ||
-         reason == MissReason::kFailed;
+         reason == MissReason::kWrongVersion;
 }
 
 }  // namespace
@@ -27,18 +39,27 @@
 QueryRun::QueryRun(asio::io_context& context,
                    PeerRouter& router,
                    const FleetViewHolder& holder,
+                   QueryTables& tables,
                    QueryRunSpec spec,
                    DoneHandler on_done)
     : m_strand(asio::make_strand(context)),
       m_deadline_timer(m_strand),
+      m_replan_timer(m_strand),
+      m_hedge_timer(m_strand),
       m_router(router),
       m_holder(holder),
+      m_tables(tables),
       m_spec(std::move(spec)),
       m_deadline(m_spec.m_started +
                  Milliseconds(m_spec.m_contract->DeadlineMs()) -
                  kAnswerReserve),
       m_on_done(std::move(on_done)),
-      m_merge(m_spec.m_query.m_ranges, m_spec.m_collection->IndexVersion()) {}
+      m_merge(m_spec.m_query.m_ranges,
+              tables.Settings().m_snapshot_memory
+                  ? tables.ChooseVersion(*m_spec.m_collection,
+                                         m_spec.m_query.m_ranges)
+                  : m_spec.m_collection->IndexVersion()),
+      m_slow(tables.SlowReplicasOf(m_spec.m_collection->Name())) {}
 
 void QueryRun::Start() {
   asio::post(m_strand, [self = shared_from_this()] {
@@ -48,40 +69,63 @@
         self->Finish();
       }
     });
-    self->SendTo(self->m_spec.m_query.m_ranges);
+    const std::vector<KeyRange>& ranges = self->m_spec.m_query.m_ranges;
+    std::size_t shards = 0;
+    for (const OwnerShare& share : self->Plan(ranges).m_shares) {
+      shards += share.m_ranges.size();
+    }
+    self->m_tables.EarnBudgets(*self->m_spec.m_contract, shards);
+    self->SendTo(ranges);
     self->FinishIfDone();
   });
 }
 
-void QueryRun::SendTo(const std::vector<KeyRange>& ranges) {
+QueryPlan QueryRun::Plan(const std::vector<KeyRange>& ranges) const {
   const auto view = m_holder.Get();
-  auto collection = view->State().FindCollection(m_spec.m_collection->Name());
-  JR_CHECK(collection != nullptr);
-  const QueryPlan plan =
-      PlanQuery(*view, *collection, ranges, m_spec.m_domain, m_tried);
+  const auto collection =
+      view->State().FindCollection(m_spec.m_collection->Name());
+  if (collection == nullptr) {
+    return QueryPlan{{}, ranges};
+  }
+  return PlanQuery(*view, *collection, ranges, m_spec.m_domain, m_tried,
+                   m_slow);
+}
+
+void QueryRun::SendTo(const std::vector<KeyRange>& ranges) {
+  const QueryPlan plan = Plan(ranges);
   for (const KeyRange& range : plan.m_unplaced) {
     m_merge.Miss(range, MissReason::kNoReplica);
   }
   for (const OwnerShare& share : plan.m_shares) {
-    SendShare(share);
+    SendShare(share, false);
   }
+  ScheduleHedge();
 }
 
-void QueryRun::SendShare(const OwnerShare& share) {
+void QueryRun::SendShare(const OwnerShare& share, bool is_hedge) {
   const std::uint32_t attempt = ++m_last_attempt;
+  const TimePoint now = SteadyClock().Now();
+  const Milliseconds reserve = share.m_owner.m_domain == m_spec.m_domain
+                                   ? kLocalHopReserve
+                                   : kRemoteHopReserve;
   SubQuery query;
   query.m_call = CallId{m_spec.m_request, attempt};
   query.m_customer = m_spec.m_query.m_customer;
   query.m_collection = m_spec.m_collection->Name();
   query.m_body = m_spec.m_query.m_body;
   query.m_index_version = m_merge.IndexVersion();
-  query.m_remaining_ms = RemainingMs(SteadyClock().Now(), m_deadline);
+  query.m_remaining_ms = RemainingMs(now, m_deadline - reserve);
+  query.m_is_hedge = is_hedge;
   query.m_ranges = share.m_ranges;
   for (const KeyRange& range : share.m_ranges) {
     m_tried.Add(share.m_owner.m_domain, range);
   }
-  m_open_calls.emplace(attempt,
-                       OpenCall{share.m_owner, RangeSet(share.m_ranges)});
+  OpenCall call;
+  call.m_owner = share.m_owner;
+  call.m_unanswered = RangeSet(share.m_ranges);
+  call.m_sent = now;
+  call.m_is_hedge = is_hedge;
+  m_open_calls.emplace(attempt, std::move(call));
   m_router.Send(share.m_owner, std::move(query),
                 [self = shared_from_this()](SubAnswer answer) {
                   asio::post(self->m_strand,
@@ -95,16 +139,14 @@
   JR_CHECK(answer.m_call.m_request == m_spec.m_request);
   const auto call = m_open_calls.find(answer.m_call.m_attempt);
   if (m_is_finished || call == m_open_calls.end()) {
+    m_tables.CountLateReply();
     LogEvent(EventId::kLateReplyDropped, "request={}",
              m_spec.m_request.ToText());
     return;
   }
-  if (RestartOnOtherVersion(answer)) {
-    return;
-  }
   for (const RangeAnswer& range : answer.m_ranges) {
     call->second.m_unanswered.Remove(range.m_range);
-    OnRange(answer, range);
+    OnRange(call->second, answer, range);
   }
   if (answer.m_is_last) {
     for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
@@ -112,65 +154,247 @@
     }
     m_open_calls.erase(call);
   }
-  RetryMissed();
+  if (!RestartOnOtherVersion()) {
+    WithdrawCoveredCalls();
+    ReplanIdleRanges();
+  }
   FinishIfDone();
 }
 
-void QueryRun::OnRange(const SubAnswer& answer, const RangeAnswer& range) {
-  if (range.m_reason == MissReason::kNone) {
-    m_merge.Accept(range.m_range, answer.m_index_version, range.m_rows);
+void QueryRun::OnRange(OpenCall& call,
+                       const SubAnswer& answer,
+                       const RangeAnswer& range) {
+  m_tables.ReportVersions(m_spec.m_collection->Name(), range);
+  if (range.m_reason != MissReason::kNone && call.m_is_hedge) {
     return;
   }
-  m_merge.Miss(range.m_range, range.m_reason);
-  if (IsWorthRetrying(range.m_reason)) {
-    m_to_retry.push_back(range.m_range);
+  if (range.m_reason != MissReason::kNone) {
+    m_merge.Miss(range.m_range, range.m_reason);
+    m_saw_wrong_version =
+        m_saw_wrong_version || range.m_reason == MissReason::kWrongVersion;
+    return;
+  }
+  m_tables.RecordLatency(m_spec.m_collection->Name(),
+                         ReplicaOf(call, range.m_range),
+                         SteadyClock().Now() - call.m_sent);
+  const bool is_taken =
+      m_merge.Accept(range.m_range, answer.m_index_version, range.m_rows);
+  if (is_taken && call.m_is_hedge) {
+    m_tables.CountHedgeWin();
   }
-}
 
-void QueryRun::RetryMissed() {
-  if (m_to_retry.empty() || m_retry_rounds >= kMaxRetryRounds) {
-    return;
+  // A part that overlaps another one was dropped; the rest is asked for again
+  if (!is_taken) {
+    for (const KeyRange& rest : m_merge.Covered().MissingFrom(range.m_range)) {
+      m_merge.Miss(rest, MissReason::kNotOwned);
+    }
   }
-  ++m_retry_rounds;
-  SendTo(std::exchange(m_to_retry, {}));
 }
 
-bool QueryRun::RestartOnOtherVersion(const SubAnswer& answer) {
-  bool is_wrong_version = false;
-  for (const RangeAnswer& range : answer.m_ranges) {
-    is_wrong_version =
-        is_wrong_version || range.m_reason == MissReason::kWrongVersion;
+ReplicaKey QueryRun::ReplicaOf(const OpenCall& call,
+                               const KeyRange& range) const {
+  const CollectionMap& collection = *m_spec.m_collection;
+  const Shard& shard = collection.Shards()[collection.ShardAt(range.m_begin)];
+  return ReplicaKey{call.m_owner.m_domain, shard.m_range.m_begin};
+}
+
+bool QueryRun::RestartOnOtherVersion() {
+  if (!std::exchange(m_saw_wrong_version, false) || m_was_restarted ||
+      !m_tables.Settings().m_snapshot_restart) {
+    return false;
   }
-  if (!is_wrong_version || m_was_restarted) {
+
+  // Choose the newest version that the upstreams serve
+  const auto collection =
+      m_holder.Get()->State().FindCollection(m_spec.m_collection->Name());
+  const CollectionMap& newest =
+      collection == nullptr ? *m_spec.m_collection : *collection;
+  const std::uint64_t other =
+      m_tables.ChooseVersion(newest, m_spec.m_query.m_ranges);
+  if (other == m_merge.IndexVersion()) {
     return false;
   }
 
-  // Choose the version that the upstreams serve, or the one published before
-  const std::uint64_t other = answer.m_other_index_version != 0
-                                  ? answer.m_other_index_version
-                                  : m_spec.m_collection->PreviousIndexVersion();
-  if (other == 0 || other == m_merge.IndexVersion()) {
+  // Keep what is covered if a second run would not end in time
+  const TimePoint now = SteadyClock().Now();
+  const Duration needed =
+      std::max<Duration>(now - m_spec.m_started, kLeastRetryTime);
+  if (now + needed > m_deadline) {
     return false;
   }
   m_was_restarted = true;
+  LogEvent(EventId::kQueryRestarted, "request={} from={} to={}",
+           m_spec.m_request.ToText(), m_merge.IndexVersion(), other);
   WithdrawOpenCalls();
   m_merge.Restart(other);
   m_tried = TriedDomains();
-  m_to_retry.clear();
+  m_given_up = RangeSet();
   SendTo(m_spec.m_query.m_ranges);
-  FinishIfDone();
   return true;
 }
 
+std::vector<MissingRange> QueryRun::IdleRanges() const {
+  // Leave out what an open call may still answer and what was given up
+  RangeSet busy = m_given_up;
+  for (const auto& [attempt, call] : m_open_calls) {
+    for (const KeyRange& range : call.m_unanswered.Ranges()) {
+      busy.Add(range);
+    }
+  }
+  std::vector<MissingRange> idle;
+  for (const MissingRange& missing : m_merge.Missing()) {
+    for (const KeyRange& range : busy.MissingFrom(missing.m_range)) {
+      idle.push_back(MissingRange{range, missing.m_reason});
+    }
+  }
+  return idle;
+}
+
+bool QueryRun::MayAskAgain(MissReason reason) {
+  if (ProvesNotRun(reason)) {
+    return true;
+  }
+  if (reason != MissReason::kFailed && reason != MissReason::kOverloaded) {
+    return false;
+  }
+  return m_tables.TakeRetry(*m_spec.m_contract);
+}
+
+void QueryRun::ReplanIdleRanges() {
+  if (m_is_finished || m_is_replan_scheduled || !m_tables.Settings().m_replan) {
+    return;
+  }
+  const TimePoint now = SteadyClock().Now();
+  if (m_replan_rounds >= kMaxReplanRounds ||
+      now + kLeastRetryTime > m_deadline) {
+    return;
+  }
+
+  // Choose what is worth asking for again
+  std::vector<KeyRange> again;
+  for (const MissingRange& idle : IdleRanges()) {
+    if (MayAskAgain(idle.m_reason)) {
+      again.push_back(idle.m_range);
+    } else {
+      m_given_up.Add(idle.m_range);
+    }
+  }
+  if (again.empty()) {
+    return;
+  }
+
+  // Ask at once in the first round, later ones wait for a newer map
+  if (m_replan_rounds++ == 0) {
+    SendTo(again);
+    return;
+  }
+  m_is_replan_scheduled = true;
+  m_replan_timer.expires_after(kReplanDelay);
+  m_replan_timer.async_wait([self = shared_from_this(), again](auto error) {
+    self->m_is_replan_scheduled = false;
+    if (!error && !self->m_is_finished) {
+      self->SendTo(again);
+      self->ReplanIdleRanges();
+      self->FinishIfDone();
+    }
+  });
+}
+
+void QueryRun::ScheduleHedge() {
+  std::optional<TimePoint> next;
+  for (const auto& [attempt, call] : m_open_calls) {
+    if (call.m_is_hedge || call.m_was_hedged) {
+      continue;
+    }
+    const auto delay =
+        m_tables.HedgeDelay(m_spec.m_collection->Name(), call.m_owner.m_domain);
+    if (delay && (!next || call.m_sent + *delay < *next)) {
+      next = call.m_sent + *delay;
+    }
+  }
+  if (!next) {
+    return;
+  }
+  m_hedge_timer.expires_at(*next);
+  m_hedge_timer.async_wait([self = shared_from_this()](auto error) {
+    if (!error && !self->m_is_finished) {
+      self->OnHedgeDue();
+    }
+  });
+}
+
+void QueryRun::OnHedgeDue() {
+  const TimePoint now = SteadyClock().Now();
+  std::vector<std::uint32_t> due;
+  for (const auto& [attempt, call] : m_open_calls) {
+    const auto delay =
+        m_tables.HedgeDelay(m_spec.m_collection->Name(), call.m_owner.m_domain);
+    if (!call.m_is_hedge && !call.m_was_hedged && delay &&
+        call.m_sent + *delay <= now) {
+      due.push_back(attempt);
+    }
+  }
+  for (const std::uint32_t attempt : due) {
+    HedgeCall(attempt);
+  }
+  ScheduleHedge();
+}
+
+void QueryRun::HedgeCall(std::uint32_t attempt) {
+  OpenCall& call = m_open_calls.at(attempt);
+  call.m_was_hedged = true;
+  const QueryPlan plan = Plan(call.m_unanswered.Ranges());
+  for (const OwnerShare& share : plan.m_shares) {
+    // Keep the ranges that another domain can answer within the budget
+    OwnerShare hedge{share.m_owner, {}};
+    for (const KeyRange& range : share.m_ranges) {
+      if (!m_tried.Contains(share.m_owner.m_domain, range) &&
+          m_tables.TakeHedge(*m_spec.m_contract)) {
+        hedge.m_ranges.push_back(range);
+      }
+    }
+    if (!hedge.m_ranges.empty()) {
+      SendShare(hedge, true);
+    }
+  }
+}
+
+void QueryRun::WithdrawCoveredCalls() {
+  for (auto call = m_open_calls.begin(); call != m_open_calls.end();) {
+    bool is_covered = true;
+    for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
+      is_covered = is_covered && m_merge.Covered().Covers(range);
+    }
+    if (!is_covered || call->second.m_unanswered.IsEmpty()) {
+      ++call;
+      continue;
+    }
+    for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
+      m_tables.RecordLate(m_spec.m_collection->Name(),
+                          ReplicaOf(call->second, range),
+                          SteadyClock().Now() - call->second.m_sent);
+    }
+    m_tables.CountCancel();
+    m_router.Cancel(call->second.m_owner,
+                    CallId{m_spec.m_request, call->first});
+    call = m_open_calls.erase(call);
+  }
+}
+
 void QueryRun::WithdrawOpenCalls() {
   const auto open = std::exchange(m_open_calls, {});
   for (const auto& [attempt, call] : open) {
+    m_tables.CountCancel();
     m_router.Cancel(call.m_owner, CallId{m_spec.m_request, attempt});
   }
 }
 
 void QueryRun::FinishIfDone() {
-  if (!m_is_finished && (m_merge.IsComplete() || m_open_calls.empty())) {
+  if (m_is_finished) {
+    return;
+  }
+  if (m_merge.IsComplete() ||
+      (m_open_calls.empty() && !m_is_replan_scheduled)) {
     Finish();
   }
 }
@@ -179,6 +403,8 @@
   JR_CHECK(!m_is_finished);
   m_is_finished = true;
   m_deadline_timer.cancel();
+  m_replan_timer.cancel();
+  m_hedge_timer.cancel();
   WithdrawOpenCalls();
 
   QueryAnswer answer;
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -14,6 +14,7 @@
 #include "policy/query_merge.h"
 #include "policy/query_planner.h"
 #include "query_answer.h"
+#include "query_tables.h"
 
 namespace jackdawrack {
 
@@ -28,14 +29,17 @@
 };
 
 /// Runs one query: pins an index version, asks the owners, merges their parts
-/// by key range, asks again elsewhere for what is missing, and answers once.
+/// by key range, asks again elsewhere for what is missing or late, and answers
+/// once.
 class QueryRun final : public std::enable_shared_from_this<QueryRun> {
  public:
   using DoneHandler = std::function<void(QueryAnswer)>;
 
+  /// `router`, `holder` and `tables` have to outlive this object.
   QueryRun(boost::asio::io_context& context,
            PeerRouter& router,
            const FleetViewHolder& holder,
+           QueryTables& tables,
            QueryRunSpec spec,
            DoneHandler on_done);
 
@@ -47,34 +51,70 @@
   struct OpenCall {
     Instance m_owner;
     RangeSet m_unanswered;
+    TimePoint m_sent{};
+    bool m_is_hedge = false;
+    /// True once late ranges of it were asked for elsewhere.
+    bool m_was_hedged = false;
   };
 
+  // Sending
   void SendTo(const std::vector<KeyRange>& ranges);
-  void SendShare(const OwnerShare& share);
+  void SendShare(const OwnerShare& share, bool is_hedge);
+  [[nodiscard]] QueryPlan Plan(const std::vector<KeyRange>& ranges) const;
+
+  // Answers
   void OnAnswer(const SubAnswer& answer);
-  void OnRange(const SubAnswer& answer, const RangeAnswer& range);
-  void RetryMissed();
-  bool RestartOnOtherVersion(const SubAnswer& answer);
+  void OnRange(OpenCall& call,
+               const SubAnswer& answer,
+               const RangeAnswer& range);
+  bool RestartOnOtherVersion();
+
+  // Coverage
+  [[nodiscard]] std::vector<MissingRange> IdleRanges() const;
+  [[nodiscard]] bool MayAskAgain(MissReason reason);
+  void ReplanIdleRanges();
+
+  [[nodiscard]] ReplicaKey ReplicaOf(const OpenCall& call,
+                                     const KeyRange& range) const;
+
+  // Hedges
+  void ScheduleHedge();
+  void OnHedgeDue();
+  void HedgeCall(std::uint32_t attempt);
+  void WithdrawCoveredCalls();
+
+  // The end
   void WithdrawOpenCalls();
   void FinishIfDone();
   void Finish();
 
   boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
   boost::asio::steady_timer m_deadline_timer;
+  boost::asio::steady_timer m_replan_timer;
+  boost::asio::steady_timer m_hedge_timer;
   PeerRouter& m_router;
   const FleetViewHolder& m_holder;
+  QueryTables& m_tables;
   const QueryRunSpec m_spec;
   const TimePoint m_deadline;
   const DoneHandler m_on_done;
 
+  // Answer
   QueryMerge m_merge;
+  bool m_is_finished = false;
+
+  // Calls
   TriedDomains m_tried;
+  const ReplicaSet m_slow;
   std::unordered_map<std::uint32_t, OpenCall> m_open_calls;
   std::uint32_t m_last_attempt = 0;
-  std::uint32_t m_retry_rounds = 0;
-  std::vector<KeyRange> m_to_retry;
+
+  // Repeats
+  RangeSet m_given_up;
+  std::uint32_t m_replan_rounds = 0;
+  bool m_is_replan_scheduled = false;
+  bool m_saw_wrong_version = false;
   bool m_was_restarted = false;
-  bool m_is_finished = false;
 };
 
 }  // namespace jackdawrack
--- /dev/null
+++ b/packages/entry/src/query_tables.cpp
@@ -0,0 +1,128 @@
+#include "query_tables.h"
+
+#include <mutex>
+
+namespace jackdawrack {
+namespace {
+
+constexpr double kHedgeBurst = 20;
+constexpr double kRetryBurst = 20;
+constexpr double kHedgeQuantile = 0.99;
+constexpr double kLeastSamples = 50;
+constexpr Milliseconds kLeastHedgeDelay{2};
+constexpr Milliseconds kEvaluationInterval{100};
+
+}  // namespace
+
+QueryTables::QueryTables(QueryPolicySettings settings, MetricsRegistry& metrics)
+    : m_settings(settings),
+      m_primaries(metrics.CounterFor("jackdawrack_primary_requests")),
+      m_hedges(metrics.CounterFor("jackdawrack_hedges")),
+      m_hedge_wins(metrics.CounterFor("jackdawrack_hedge_wins")),
+      m_retries(metrics.CounterFor("jackdawrack_retries")),
+      m_retries_refused(metrics.CounterFor("jackdawrack_retries_refused")),
+      m_cancels(metrics.CounterFor("jackdawrack_cancellations")),
+      m_late_replies(metrics.CounterFor("jackdawrack_late_replies")),
+      m_ejections(metrics.CounterFor("jackdawrack_slow_ejections")) {}
+
+void QueryTables::ReportVersions(const CollectionName& collection,
+                                 const RangeAnswer& answer) {
+  const std::lock_guard lock(m_mutex);
+  m_versions[collection].Report(answer.m_range, answer.m_served_versions,
+                                SteadyClock().Now());
+}
+
+std::uint64_t QueryTables::ChooseVersion(
+    const CollectionMap& collection,
+    const std::vector<KeyRange>& wanted) const {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_versions.find(collection.Name());
+  return found == m_versions.end()
+             ? collection.IndexVersion()
+             : found->second.Choose(collection, wanted, SteadyClock().Now());
+}
+
+void QueryTables::EarnBudgets(const Contract& contract, std::size_t shards) {
+  m_primaries.Add(shards);
+  const std::lock_guard lock(m_mutex);
+  Budgets& budgets = BudgetsOf(contract);
+  budgets.m_hedges.Earn(shards, contract.HedgeShare());
+  budgets.m_retries.Earn(shards, contract.RetryShare());
+}
+
+bool QueryTables::TakeHedge(const Contract& contract) {
+  const std::lock_guard lock(m_mutex);
+  if (!BudgetsOf(contract).m_hedges.TrySpend()) {
+    return false;
+  }
+  m_hedges.Add();
+  return true;
+}
+
+bool QueryTables::TakeRetry(const Contract& contract) {
+  const std::lock_guard lock(m_mutex);
+  if (m_settings.m_retry_budget && !BudgetsOf(contract).m_retries.TrySpend()) {
+    m_retries_refused.Add();
+    return false;
+  }
+  m_retries.Add();
+  return true;
+}
+
+void QueryTables::RecordLatency(const CollectionName& collection,
+                                const ReplicaKey& replica,
+                                Duration latency) {
+  const std::lock_guard lock(m_mutex);
+  m_latencies[Group{collection, replica.m_domain}].Record(latency,
+                                                          SteadyClock().Now());
+  m_slow[collection].m_replicas.Record(replica, latency);
+}
+
+void QueryTables::RecordLate(const CollectionName& collection,
+                             const ReplicaKey& replica,
+                             Duration waited) {
+  const std::lock_guard lock(m_mutex);
+  m_slow[collection].m_replicas.Record(replica, waited);
+}
+
+ReplicaSet QueryTables::SlowReplicasOf(const CollectionName& collection) {
+  if (!m_settings.m_slow_ejection) {
+    return {};
+  }
+  const TimePoint now = SteadyClock().Now();
+  const std::lock_guard lock(m_mutex);
+  SlowTable& table = m_slow[collection];
+  if (now >= table.m_next_evaluation) {
+    table.m_next_evaluation = now + kEvaluationInterval;
+    m_ejections.Add(table.m_replicas.Evaluate(now));
+  }
+  return table.m_replicas.ToAvoid();
+}
+
+std::optional<Duration> QueryTables::HedgeDelay(
+    const CollectionName& collection,
+    const FailureDomain& domain) const {
+  if (!m_settings.m_hedging) {
+    return std::nullopt;
+  }
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_latencies.find(Group{collection, domain});
+  if (found == m_latencies.end()) {
+    return std::nullopt;
+  }
+  const auto delay = found->second.Quantile(kHedgeQuantile, kLeastSamples);
+  if (!delay) {
+    return std::nullopt;
+  }
+  return std::max<Duration>(*delay, kLeastHedgeDelay);
+}
+
+QueryTables::Budgets& QueryTables::BudgetsOf(const Contract& contract) {
+  return m_budgets
+      .try_emplace(contract.Name(),
+                   Budgets{ShareBudget(kHedgeBurst),
+                           ShareBudget(kRetryBurst, kRetryBurst)})
+      .first->second;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/entry/src/query_tables.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "core/metrics.h"
+#include "model/collection_map.h"
+#include "model/contract.h"
+#include "model/query_policy_settings.h"
+#include "peer/messages.h"
+#include "policy/decayed_latency.h"
+#include "policy/served_versions.h"
+#include "policy/share_budget.h"
+#include "policy/slow_replicas.h"
+
+namespace jackdawrack {
+
+/// What an entry remembers between queries: served index versions, usual
+/// latencies and budgets. Methods may be called from any thread.
+class QueryTables final {
+ public:
+  /// `metrics` has to outlive this object.
+  QueryTables(QueryPolicySettings settings, MetricsRegistry& metrics);
+
+  // Snapshot
+
+  /// Notes what the answering replica serves.
+  void ReportVersions(const CollectionName& collection,
+                      const RangeAnswer& answer);
+  /// Newest version that every needed shard is known or published to serve.
+  [[nodiscard]] std::uint64_t ChooseVersion(
+      const CollectionMap& collection,
+      const std::vector<KeyRange>& wanted) const;
+
+  // Hedges and retries
+
+  /// Earns both budgets of a customer for first requests to `shards` shards.
+  void EarnBudgets(const Contract& contract, std::size_t shards);
+  /// Takes the budget of one hedged range; false if there is none left.
+  [[nodiscard]] bool TakeHedge(const Contract& contract);
+  /// Takes the budget of one retried range; false if there is none left.
+  [[nodiscard]] bool TakeRetry(const Contract& contract);
+  /// Counts a range that came first from a hedge.
+  void CountHedgeWin() { m_hedge_wins.Add(); }
+  void CountLateReply() { m_late_replies.Add(); }
+  void CountCancel() { m_cancels.Add(); }
+
+  // Latency
+
+  /// Notes the latency of an answer from a replica.
+  void RecordLatency(const CollectionName& collection,
+                     const ReplicaKey& replica,
+                     Duration latency);
+  /// Notes that no answer came from a replica for `waited`.
+  void RecordLate(const CollectionName& collection,
+                  const ReplicaKey& replica,
+                  Duration waited);
+  /// Replicas that a new query avoids because they are slow.
+  [[nodiscard]] ReplicaSet SlowReplicasOf(const CollectionName& collection);
+  /// Time after which an answer counts as late; nothing while too little was
+  /// seen or hedging is off.
+  [[nodiscard]] std::optional<Duration> HedgeDelay(
+      const CollectionName& collection,
+      const FailureDomain& domain) const;
+
+  [[nodiscard]] const QueryPolicySettings& Settings() const {
+    return m_settings;
+  }
+
+ private:
+  struct Group {
+    CollectionName m_collection;
+    FailureDomain m_domain;
+    friend auto operator<=>(const Group&, const Group&) = default;
+  };
+
+  struct Budgets {
+    ShareBudget m_hedges;
+    ShareBudget m_retries;
+  };
+
+  /// The slow replicas of one collection, judged at an interval.
+  struct SlowTable {
+    SlowReplicas m_replicas;
+    TimePoint m_next_evaluation{};
+  };
+
+  Budgets& BudgetsOf(const Contract& contract);
+
+  const QueryPolicySettings m_settings;
+  Counter& m_primaries;
+  Counter& m_hedges;
+  Counter& m_hedge_wins;
+  Counter& m_retries;
+  Counter& m_retries_refused;
+  Counter& m_cancels;
+  Counter& m_late_replies;
+  Counter& m_ejections;
+  mutable RankedMutex m_mutex{LockRank::kQueryTables};
+  std::map<CollectionName, ServedVersions> m_versions;
+  std::map<Customer, Budgets> m_budgets;
+  std::map<Group, DecayedLatency> m_latencies;
+  std::map<CollectionName, SlowTable> m_slow;
+};
+
+}  // namespace jackdawrack
--- a/packages/model/include/model/instance_settings.h
+++ b/packages/model/include/model/instance_settings.h
@@ -6,6 +6,7 @@
 #include "core/ini.h"
 #include "model/endpoint.h"
 #include "model/ids.h"
+#include "model/query_policy_settings.h"
 
 namespace jackdawrack {
 
@@ -25,6 +26,8 @@
   /// Time that a planned stop goes on accepting, so that the balancer notices.
   std::uint32_t m_balancer_lag_ms = 1000;
   std::size_t m_max_body_bytes = 1 << 20;
+  /// Switches of the query mechanisms.
+  QueryPolicySettings m_query_policy;
 
   /// Parses the text; on any problem the settings may not be used.
   static InstanceSettings Parse(const std::string& file,
--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -23,8 +23,8 @@
                                          const std::string& text,
                                          std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
-  document.RefuseUnknownSections({"instance", "listen", "platform", "stop"},
-                                 problems);
+  document.RefuseUnknownSections(
+      {"instance", "listen", "platform", "stop", "policy"}, problems);
   InstanceSettings settings;
 
   // Read who this instance is
@@ -66,6 +66,10 @@
   settings.m_balancer_lag_ms = static_cast<std::uint32_t>(
       stop.Number("balancer_lag_ms", NumberBounds{0, kMaxBalancerLagMs}, 1000));
   stop.RefuseUnknownKeys();
+
+  // Read which query mechanisms are on
+  settings.m_query_policy =
+      QueryPolicySettings::Read(file, document.FindOrEmpty("policy"), problems);
   return settings;
 }
 
--- a/packages/owner/include/owner/owner_service.h
+++ b/packages/owner/include/owner/owner_service.h
@@ -5,6 +5,7 @@
 
 #include "core/metrics.h"
 #include "model/ids.h"
+#include "model/query_policy_settings.h"
 #include "peer/peer_service.h"
 #include "policy/fleet_view.h"
 
@@ -18,6 +19,7 @@
   OwnerService(boost::asio::io_context& context,
                FailureDomain domain,
                const FleetViewHolder& holder,
+               QueryPolicySettings query_policy,
                MetricsRegistry& metrics);
   ~OwnerService();
 
--- a/packages/owner/src/owner_service.cpp
+++ b/packages/owner/src/owner_service.cpp
@@ -13,6 +13,7 @@
 
 constexpr Milliseconds kKeyWindow{600'000};
 constexpr std::size_t kMaxKeys = 200'000;
+constexpr Milliseconds kReconcileInterval{250};
 
 RunAnswer MakeAnswer(const RunRequest& request,
                      Outcome outcome,
@@ -33,19 +34,33 @@
   Impl(boost::asio::io_context& context,
        FailureDomain domain,
        const FleetViewHolder& holder,
+       QueryPolicySettings query_policy,
        MetricsRegistry& metrics)
       : m_context(context),
         m_domain(std::move(domain)),
         m_holder(holder),
         m_sub_queries(metrics.CounterFor("jackdawrack_owner_sub_queries")),
-        m_table(context),
+        m_table(context, query_policy, metrics),
+        m_reconcile_timer(context),
         m_keys(kKeyWindow, kMaxKeys) {}
 
+  // Starts to compare the pools with what is published, at a fixed interval.
+  void ScheduleReconcile() {
+    m_reconcile_timer.expires_after(kReconcileInterval);
+    m_reconcile_timer.async_wait([weak = weak_from_this()](auto error) {
+      const auto self = weak.lock();
+      if (!error && self != nullptr) {
+        self->m_table.Reconcile(self->m_holder.Get()->State());
+        self->ScheduleReconcile();
+      }
+    });
+  }
+
   void OnSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
     m_sub_queries.Add();
     const CallId call = query.m_call;
     auto run = std::make_shared<SubQueryRun>(
-        m_context, m_holder.Get(), m_domain, m_table, std::move(query),
+        m_context, m_holder, m_domain, m_table, std::move(query),
         std::move(sink), [weak = weak_from_this(), call] {
           if (const auto self = weak.lock()) {
             self->Forget(call);
@@ -211,6 +226,7 @@
   const FleetViewHolder& m_holder;
   Counter& m_sub_queries;
   UpstreamTable m_table;
+  boost::asio::steady_timer m_reconcile_timer;
   RankedMutex m_mutex{LockRank::kOwnerTable};
   std::unordered_map<CallId, std::shared_ptr<SubQueryRun>> m_runs;
   IdempotencyTable m_keys;
@@ -219,9 +235,14 @@
 OwnerService::OwnerService(boost::asio::io_context& context,
                            FailureDomain domain,
                            const FleetViewHolder& holder,
+                           QueryPolicySettings query_policy,
                            MetricsRegistry& metrics)
-    : m_impl(
-          std::make_shared<Impl>(context, std::move(domain), holder, metrics)) {
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(domain),
+                                    holder,
+                                    query_policy,
+                                    metrics)) {
+  m_impl->ScheduleReconcile();
 }
 
 OwnerService::~OwnerService() = default;
--- a/packages/owner/src/sub_query_run.cpp
+++ b/packages/owner/src/sub_query_run.cpp
@@ -13,7 +13,7 @@
 namespace asio = boost::asio;
 
 /// Results wait this long for others before they are sent on.
-constexpr Milliseconds kFlushDelay{5};
+constexpr Milliseconds kFlushDelay{2};
 
 MissReason ReasonFor(UpstreamErrc code) {
   switch (code) {
@@ -24,8 +24,10 @@
     case UpstreamErrc::kTimeout:
       return MissReason::kTimeout;
     case UpstreamErrc::kUnreachable:
-    case UpstreamErrc::kBroken:
       return MissReason::kUnreachable;
+    case UpstreamErrc::kDraining:
+      return MissReason::kNoReplica;
+    case UpstreamErrc::kBroken:
     case UpstreamErrc::kMalformed:
       return MissReason::kFailed;
   }
@@ -38,6 +40,8 @@
       return MissReason::kNone;
     case UpstreamQueryStatus::kWrongVersion:
       return MissReason::kWrongVersion;
+    case UpstreamQueryStatus::kNotHeld:
+      return MissReason::kNotOwned;
     case UpstreamQueryStatus::kRefused:
       return MissReason::kOverloaded;
     case UpstreamQueryStatus::kFailed:
@@ -56,7 +60,7 @@
 }  // namespace
 
 SubQueryRun::SubQueryRun(asio::io_context& context,
-                         std::shared_ptr<const FleetView> view,
+                         const FleetViewHolder& holder,
                          FailureDomain domain,
                          UpstreamTable& table,
                          SubQuery query,
@@ -64,7 +68,7 @@
                          std::function<void()> on_finished)
     : m_strand(asio::make_strand(context)),
       m_flush_timer(m_strand),
-      m_view(std::move(view)),
+      m_holder(holder),
       m_domain(std::move(domain)),
       m_table(table),
       m_query(std::move(query)),
@@ -74,25 +78,17 @@
 
 void SubQueryRun::Start() {
   asio::post(m_strand, [self = shared_from_this()] {
-    const auto collection =
-        self->m_view->State().FindCollection(self->m_query.m_collection);
     for (const KeyRange& range : self->m_query.m_ranges) {
-      if (collection == nullptr || !range.IsValid()) {
-        self->Miss({range}, MissReason::kNotOwned);
-      } else {
-        self->PlanRange(*collection, range);
-      }
-    }
-    self->m_open_pieces = self->m_pieces.size();
-    for (std::size_t i = 0; i < self->m_pieces.size(); ++i) {
-      self->SendPiece(i);
+      self->Plan(range, {}, MissReason::kNoReplica);
     }
+    self->SendNewPieces();
     self->FinishIfDone();
   });
 }
 
 void SubQueryRun::Cancel() {
   asio::post(m_strand, [self = shared_from_this()] {
+    self->m_is_cancelled = true;
     for (std::size_t i = 0; i < self->m_pieces.size(); ++i) {
       if (!self->m_pieces[i].m_is_done) {
         const std::string call = self->CallText(i);
@@ -103,42 +99,61 @@
   });
 }
 
-void SubQueryRun::PlanRange(const CollectionMap& collection,
-                            const KeyRange& range) {
-  std::size_t position = collection.ShardAt(range.m_begin);
-  for (; position < collection.Shards().size(); ++position) {
-    const Shard& shard = collection.Shards()[position];
+void SubQueryRun::Plan(const KeyRange& range,
+                       const std::vector<UpstreamId>& tried,
+                       MissReason reason) {
+  const auto view = m_holder.Get();
+  const auto collection = view->State().FindCollection(m_query.m_collection);
+  if (collection == nullptr || !range.IsValid()) {
+    Miss(range, MissReason::kNotOwned);
+    return;
+  }
+  std::size_t position = collection->ShardAt(range.m_begin);
+  for (; position < collection->Shards().size(); ++position) {
+    const Shard& shard = collection->Shards()[position];
     const KeyRange part = Intersect(shard.m_range, range);
     if (!part.IsValid()) {
       return;
     }
-    PlanPart(collection, shard, part);
+    PlanPart(*collection, shard, part, tried, reason);
   }
 }
 
 void SubQueryRun::PlanPart(const CollectionMap& collection,
                            const Shard& shard,
-                           const KeyRange& part) {
-  std::shared_ptr<UpstreamPool> pool = ChooseReplica(collection, shard);
+                           const KeyRange& part,
+                           const std::vector<UpstreamId>& tried,
+                           MissReason reason) {
+  std::shared_ptr<UpstreamPool> pool = ChooseReplica(collection, shard, tried);
   if (pool == nullptr) {
-    Miss({part}, MissReason::kNoReplica);
+    Miss(part, reason);
+    return;
+  }
+  if (m_query.m_is_hedge && LoadPerSlot(*pool) >= 1) {
+    Miss(part, MissReason::kOverloaded);
     return;
   }
-  m_pieces.push_back(Piece{{part}, std::move(pool), false});
+  Piece piece{{part}, std::move(pool), tried, false};
+  piece.m_tried.push_back(piece.m_pool->Target().m_id);
+  m_pieces.push_back(std::move(piece));
 }
 
 std::shared_ptr<UpstreamPool> SubQueryRun::ChooseReplica(
     const CollectionMap& collection,
-    const Shard& shard) {
+    const Shard& shard,
+    const std::vector<UpstreamId>& tried) {
   std::shared_ptr<UpstreamPool> best;
   for (const std::uint32_t position : shard.m_replicas) {
     const Upstream& replica = collection.Upstreams()[position];
-    if (replica.m_domain != m_domain ||
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), replica.m_id) != tried.end();
+    if (replica.m_domain != m_domain || was_tried ||
         replica.m_state != UpstreamState::kLive) {
       continue;
     }
     std::shared_ptr<UpstreamPool> pool = m_table.PoolFor(replica);
-    if (pool->Load().m_is_draining) {
+    const UpstreamLoad load = pool->Load();
+    if (load.m_is_draining || load.m_is_lost) {
       continue;
     }
     if (best == nullptr || LoadPerSlot(*pool) < LoadPerSlot(*best)) {
@@ -148,6 +163,13 @@
   return best;
 }
 
+void SubQueryRun::SendNewPieces() {
+  while (m_sent_pieces < m_pieces.size()) {
+    ++m_open_pieces;
+    SendPiece(m_sent_pieces++);
+  }
+}
+
 void SubQueryRun::SendPiece(std::size_t position) {
   const Piece& piece = m_pieces[position];
   UpstreamQuery query;
@@ -168,52 +190,83 @@
 
 void SubQueryRun::OnReply(std::size_t position,
                           const UpstreamResult<HttpReply>& reply) {
-  Piece& piece = m_pieces[position];
-  JR_CHECK(!piece.m_is_done);
-  piece.m_is_done = true;
+  JR_CHECK(!m_pieces[position].m_is_done);
+  m_pieces[position].m_is_done = true;
   --m_open_pieces;
+  const Piece piece = m_pieces[position];
   if (reply) {
-    TakeRows(piece, HttpUpstreamAdapter::DecodeQuery(reply.assume_value()));
+    TakeReply(piece, HttpUpstreamAdapter::DecodeQuery(reply.assume_value()));
+  } else if (reply.error().m_code == UpstreamErrc::kDraining ||
+             reply.error().m_code == UpstreamErrc::kUnreachable) {
+    AskAnotherReplica(piece, ReasonFor(reply.error().m_code));
   } else {
-    Miss(piece.m_ranges, ReasonFor(reply.error().m_code));
+    for (const KeyRange& range : piece.m_ranges) {
+      Miss(range, ReasonFor(reply.error().m_code));
+    }
   }
   FinishIfDone();
 }
 
-void SubQueryRun::TakeRows(const Piece& piece, UpstreamQueryReply reply) {
+void SubQueryRun::TakeReply(const Piece& piece, UpstreamQueryReply reply) {
+  const KeyRange& asked = piece.m_ranges.front();
   if (reply.m_report.m_is_draining) {
     piece.m_pool->MarkDraining();
   }
-  NoteOtherVersion(reply.m_report);
+
+  // Ask elsewhere if a leaving upstream refused
+  if (reply.m_status == UpstreamQueryStatus::kRefused &&
+      reply.m_report.m_is_draining) {
+    AskAnotherReplica(piece, MissReason::kNoReplica);
+    return;
+  }
+  std::vector<std::uint64_t> versions = VersionsToTell(reply.m_report);
   if (reply.m_status != UpstreamQueryStatus::kOk) {
-    Miss(piece.m_ranges, ReasonFor(reply.m_status));
+    Miss(asked, ReasonFor(reply.m_status), std::move(versions));
     return;
   }
 
   // Take the rows only if they are of the version and the ranges asked for
   if (reply.m_index_version != m_query.m_index_version) {
-    Miss(piece.m_ranges, MissReason::kWrongVersion);
+    Miss(asked, MissReason::kWrongVersion, std::move(versions));
     return;
   }
   if (reply.m_ranges != piece.m_ranges) {
-    Miss(piece.m_ranges, MissReason::kFailed);
+    Miss(asked, MissReason::kFailed, std::move(versions));
     return;
   }
-  m_unsent.push_back(RangeAnswer{piece.m_ranges.front(), MissReason::kNone,
-                                 std::move(reply.m_rows)});
+  m_unsent.push_back(RangeAnswer{asked, MissReason::kNone,
+                                 std::move(reply.m_rows), std::move(versions)});
 }
 
-void SubQueryRun::Miss(const std::vector<KeyRange>& ranges, MissReason reason) {
-  for (const KeyRange& range : ranges) {
-    m_unsent.push_back(RangeAnswer{range, reason, {}});
-  }
+void SubQueryRun::Miss(const KeyRange& range,
+                       MissReason reason,
+                       std::vector<std::uint64_t> served_versions) {
+  m_unsent.push_back(
+      RangeAnswer{range, reason, {}, std::move(served_versions)});
 }
 
-void SubQueryRun::NoteOtherVersion(const UpstreamReport& report) {
-  if (!report.m_index_versions.empty() &&
-      report.m_index_versions.back() != m_query.m_index_version) {
-    m_other_version = std::max(m_other_version, report.m_index_versions.back());
+void SubQueryRun::AskAnotherReplica(const Piece& piece, MissReason reason) {
+  const bool is_too_late = SteadyClock().Now() >= m_deadline;
+  for (const KeyRange& range : piece.m_ranges) {
+    if (m_is_cancelled || is_too_late) {
+      Miss(range, reason);
+    } else {
+      Plan(range, piece.m_tried, reason);
+    }
   }
+  SendNewPieces();
+}
+
+std::vector<std::uint64_t> SubQueryRun::VersionsToTell(
+    const UpstreamReport& report) const {
+  const auto collection =
+      m_holder.Get()->State().FindCollection(m_query.m_collection);
+  const bool is_usual =
+      report.m_index_versions.empty() ||
+      (collection != nullptr &&
+       report.m_index_versions.back() == m_query.m_index_version &&
+       collection->IndexVersion() == m_query.m_index_version);
+  return is_usual ? std::vector<std::uint64_t>() : report.m_index_versions;
 }
 
 std::string SubQueryRun::CallText(std::size_t position) const {
@@ -222,11 +275,13 @@
 }
 
 void SubQueryRun::ScheduleFlush() {
-  if (m_unsent.size() != 1) {
+  if (m_unsent.empty() || m_is_flush_scheduled) {
     return;
   }
+  m_is_flush_scheduled = true;
   m_flush_timer.expires_after(kFlushDelay);
   m_flush_timer.async_wait([self = shared_from_this()](auto error) {
+    self->m_is_flush_scheduled = false;
     if (!error && !self->m_is_finished && !self->m_unsent.empty()) {
       self->Flush(false);
     }
@@ -237,18 +292,19 @@
   SubAnswer answer;
   answer.m_call = m_query.m_call;
   answer.m_index_version = m_query.m_index_version;
-  answer.m_other_index_version = m_other_version;
   answer.m_is_last = is_last;
   answer.m_ranges = std::exchange(m_unsent, {});
   m_sink(std::move(answer));
 }
 
 void SubQueryRun::FinishIfDone() {
+  if (m_is_finished) {
+    return;
+  }
   if (m_open_pieces > 0) {
     ScheduleFlush();
     return;
   }
-  JR_CHECK(!m_is_finished);
   m_is_finished = true;
   m_flush_timer.cancel();
   Flush(true);
--- a/packages/owner/src/sub_query_run.h
+++ b/packages/owner/src/sub_query_run.h
@@ -14,11 +14,12 @@
 namespace jackdawrack {
 
 /// Runs one sub-query: one request to each shard's best replica, and answers
-/// in parts, so that one straggler does not hold up the rest.
+/// in parts, so that one straggler does not hold up the rest. Work that an
+/// upstream provably did not run goes to another replica of the domain.
 class SubQueryRun final : public std::enable_shared_from_this<SubQueryRun> {
  public:
   SubQueryRun(boost::asio::io_context& context,
-              std::shared_ptr<const FleetView> view,
+              const FleetViewHolder& holder,
               FailureDomain domain,
               UpstreamTable& table,
               SubQuery query,
@@ -36,21 +37,33 @@
   struct Piece {
     std::vector<KeyRange> m_ranges;
     std::shared_ptr<UpstreamPool> m_pool;
+    /// Upstreams that were asked for these ranges, this one the last.
+    std::vector<UpstreamId> m_tried;
     bool m_is_done = false;
   };
 
-  void PlanRange(const CollectionMap& collection, const KeyRange& range);
+  void Plan(const KeyRange& range,
+            const std::vector<UpstreamId>& tried,
+            MissReason reason);
   void PlanPart(const CollectionMap& collection,
                 const Shard& shard,
-                const KeyRange& part);
+                const KeyRange& part,
+                const std::vector<UpstreamId>& tried,
+                MissReason reason);
   [[nodiscard]] std::shared_ptr<UpstreamPool> ChooseReplica(
       const CollectionMap& collection,
-      const Shard& shard);
+      const Shard& shard,
+      const std::vector<UpstreamId>& tried);
+  void SendNewPieces();
   void SendPiece(std::size_t position);
   void OnReply(std::size_t position, const UpstreamResult<HttpReply>& reply);
-  void TakeRows(const Piece& piece, UpstreamQueryReply reply);
-  void Miss(const std::vector<KeyRange>& ranges, MissReason reason);
-  void NoteOtherVersion(const UpstreamReport& report);
+  void TakeReply(const Piece& piece, UpstreamQueryReply reply);
+  void Miss(const KeyRange& range,
+            MissReason reason,
+            std::vector<std::uint64_t> served_versions = {});
+  void AskAnotherReplica(const Piece& piece, MissReason reason);
+  [[nodiscard]] std::vector<std::uint64_t> VersionsToTell(
+      const UpstreamReport& report) const;
   [[nodiscard]] std::string CallText(std::size_t position) const;
   void ScheduleFlush();
   void Flush(bool is_last);
@@ -58,7 +71,7 @@
 
   boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
   boost::asio::steady_timer m_flush_timer;
-  const std::shared_ptr<const FleetView> m_view;
+  const FleetViewHolder& m_holder;
   const FailureDomain m_domain;
   UpstreamTable& m_table;
   const SubQuery m_query;
@@ -66,9 +79,11 @@
   const PeerService::SubAnswerSink m_sink;
   const std::function<void()> m_on_finished;
   std::vector<Piece> m_pieces;
+  std::size_t m_sent_pieces = 0;
   std::size_t m_open_pieces = 0;
+  bool m_is_cancelled = false;
+  bool m_is_flush_scheduled = false;
   bool m_is_finished = false;
-  std::uint64_t m_other_version = 0;
   std::vector<RangeAnswer> m_unsent;
 };
 
--- a/packages/peer/include/peer/messages.h
+++ b/packages/peer/include/peer/messages.h
@@ -67,10 +67,13 @@
   KeyRange m_range;
   MissReason m_reason = MissReason::kNone;
   std::vector<std::string> m_rows;
+  /// Versions that the replica says it serves, oldest first; empty if it did
+  /// not say or if its newest is the one asked for and published.
+  std::vector<std::uint64_t> m_served_versions;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_range, m_reason, m_rows);
+    archive(m_range, m_reason, m_rows, m_served_versions);
   }
   friend bool operator==(const RangeAnswer&, const RangeAnswer&) = default;
 };
@@ -79,15 +82,12 @@
 struct SubAnswer {
   CallId m_call;
   std::uint64_t m_index_version = 0;
-  /// Newest version that every asked replica serves, if it is another one.
-  std::uint64_t m_other_index_version = 0;
   bool m_is_last = false;
   std::vector<RangeAnswer> m_ranges;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_call, m_index_version, m_other_index_version, m_is_last,
-            m_ranges);
+    archive(m_call, m_index_version, m_is_last, m_ranges);
   }
   friend bool operator==(const SubAnswer&, const SubAnswer&) = default;
 };
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -26,7 +26,7 @@
   answer.m_index_version = query.m_index_version;
   answer.m_is_last = true;
   for (const KeyRange& range : query.m_ranges) {
-    answer.m_ranges.push_back(RangeAnswer{range, reason, {}});
+    answer.m_ranges.push_back(RangeAnswer{range, reason, {}, {}});
   }
   return answer;
 }
--- a/packages/policy/include/policy/query_planner.h
+++ b/packages/policy/include/policy/query_planner.h
@@ -4,6 +4,7 @@
 
 #include "model/range_set.h"
 #include "policy/fleet_view.h"
+#include "policy/slow_replicas.h"
 
 namespace jackdawrack {
 
@@ -36,11 +37,13 @@
 };
 
 /// Chooses the owners for `ranges`: the own domain first, then the others in
-/// an order that differs by shard. A domain that was tried before comes last.
+/// an order that differs by shard. A replica in `avoid` comes after the others,
+/// a domain that was tried before comes last.
 [[nodiscard]] QueryPlan PlanQuery(const FleetView& view,
                                   const CollectionMap& collection,
                                   const std::vector<KeyRange>& ranges,
                                   const FailureDomain& own_domain,
-                                  const TriedDomains& tried);
+                                  const TriedDomains& tried,
+                                  const ReplicaSet& avoid = {});
 
 }  // namespace jackdawrack
--- a/packages/policy/src/query_planner.cpp
+++ b/packages/policy/src/query_planner.cpp
@@ -11,6 +11,7 @@
 // The preference of one domain for one shard; the least one is chosen.
 struct DomainRank {
   bool m_tried = false;
+  bool m_is_slow = false;
   bool m_is_remote = false;
   std::uint64_t m_spread = 0;
 
@@ -21,8 +22,11 @@
                       const KeyRange& part,
                       const Shard& shard,
                       const FailureDomain& own_domain,
-                      const TriedDomains& tried) {
+                      const TriedDomains& tried,
+                      const ReplicaSet& avoid) {
   DomainRank rank;
+  rank.m_is_slow =
+      avoid.count(ReplicaKey{replica.m_domain, shard.m_range.m_begin}) != 0;
   rank.m_tried = tried.Contains(replica.m_domain, part);
   rank.m_is_remote = replica.m_domain != own_domain;
   if (rank.m_is_remote) {
@@ -38,7 +42,8 @@
                             std::size_t shard_position,
                             const KeyRange& part,
                             const FailureDomain& own_domain,
-                            const TriedDomains& tried) {
+                            const TriedDomains& tried,
+                            const ReplicaSet& avoid) {
   const Shard& shard = collection.Shards()[shard_position];
   const std::size_t block = collection.BlockOfShard(shard_position);
   const Instance* best = nullptr;
@@ -53,7 +58,8 @@
     if (owner == nullptr) {
       continue;
     }
-    const DomainRank rank = RankDomain(replica, part, shard, own_domain, tried);
+    const DomainRank rank =
+        RankDomain(replica, part, shard, own_domain, tried, avoid);
     if (best == nullptr || rank < best_rank) {
       best = owner;
       best_rank = rank;
@@ -99,7 +105,8 @@
                     const CollectionMap& collection,
                     const std::vector<KeyRange>& ranges,
                     const FailureDomain& own_domain,
-                    const TriedDomains& tried) {
+                    const TriedDomains& tried,
+                    const ReplicaSet& avoid) {
   PlanBuilder builder;
   for (const KeyRange& range : ranges) {
     JR_CHECK(range.IsValid());
@@ -112,8 +119,8 @@
       if (!part.IsValid()) {
         break;
       }
-      const Instance* owner =
-          ChooseOwner(view, collection, position, part, own_domain, tried);
+      const Instance* owner = ChooseOwner(view, collection, position, part,
+                                          own_domain, tried, avoid);
       if (owner == nullptr) {
         builder.LeaveOut(part);
       } else {
--- /dev/null
+++ b/packages/policy/tests/query_policy_test.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "policy/decayed_latency.h"
+#include "policy/replica_health.h"
+#include "policy/share_budget.h"
+
+namespace jackdawrack {
+namespace {
+
+TEST_CASE("extra requests stay within the share and one burst") {
+  ShareBudget budget(10);
+  int spent = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    budget.Earn(1, 0.03);
+    spent += budget.TrySpend() ? 1 : 0;
+  }
+  REQUIRE(spent <= 310);
+  REQUIRE(spent >= 290);
+}
+
+TEST_CASE("a quiet time earns no more than the burst") {
+  ShareBudget budget(5);
+  budget.Earn(100'000, 0.05);
+  int spent = 0;
+  while (budget.TrySpend()) {
+    ++spent;
+  }
+  REQUIRE(spent == 5);
+}
+
+TEST_CASE("the latency quantile follows the recent past") {
+  ManualClock clock;
+  DecayedLatency latency(Milliseconds(1'000));
+  REQUIRE_FALSE(latency.Quantile(0.5, 1).has_value());
+  for (int i = 0; i < 100; ++i) {
+    latency.Record(Milliseconds(2), clock.Now());
+  }
+  REQUIRE(*latency.Quantile(0.95, 50) < Milliseconds(3));
+
+  // After some half-lives the new latency outweighs the old one
+  for (int i = 0; i < 10; ++i) {
+    clock.Advance(Milliseconds(1'001));
+    for (int j = 0; j < 20; ++j) {
+      latency.Record(Milliseconds(40), clock.Now());
+    }
+  }
+  REQUIRE(*latency.Quantile(0.5, 10) > Milliseconds(35));
+}
+
+TEST_CASE("connect failures in a row lose an upstream, one reply mends it") {
+  ManualClock clock;
+  ReplicaHealth health;
+  REQUIRE_FALSE(health.OnConnectFailure(clock.Now()));
+  health.OnReply();
+  REQUIRE_FALSE(health.OnConnectFailure(clock.Now()));
+  REQUIRE(health.OnConnectFailure(clock.Now()));
+  REQUIRE(health.IsLost());
+
+  // One probe an interval, none before the first is due
+  REQUIRE_FALSE(health.TakeProbe(clock.Now()));
+  clock.Advance(ReplicaHealth::kProbeInterval);
+  REQUIRE(health.TakeProbe(clock.Now()));
+  REQUIRE_FALSE(health.TakeProbe(clock.Now()));
+  health.OnReply();
+  REQUIRE_FALSE(health.IsLost());
+}
+
+TEST_CASE("a draining upstream comes back by a report of its own") {
+  ManualClock clock;
+  ReplicaHealth health;
+  REQUIRE(health.OnReport(true, clock.Now()));
+  REQUIRE_FALSE(health.OnReport(true, clock.Now()));
+  REQUIRE(health.IsDraining());
+  clock.Advance(ReplicaHealth::kProbeInterval);
+  REQUIRE(health.TakeProbe(clock.Now()));
+  REQUIRE(health.OnReport(false, clock.Now()));
+  REQUIRE_FALSE(health.IsDraining());
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/policy/tests/slow_replicas_test.cpp
@@ -0,0 +1,64 @@
+#include "policy/slow_replicas.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+const FailureDomain kEast("east");
+
+// One answer of each of 30 shards; the first `slow` ones are ten times slower.
+void AnswerAll(SlowReplicas& replicas, std::uint64_t slow) {
+  for (std::uint64_t shard = 0; shard < 30; ++shard) {
+    replicas.Record(ReplicaKey{kEast, shard},
+                    Milliseconds(shard < slow ? 40 : 4));
+  }
+}
+
+TEST_CASE("a replica slower than its siblings is ejected and tried again") {
+  ManualClock clock;
+  SlowReplicas replicas;
+  for (int i = 0; i < 3; ++i) {
+    AnswerAll(replicas, 1);
+  }
+  REQUIRE(replicas.Evaluate(clock.Now()) == 1);
+  REQUIRE(replicas.ToAvoid() == ReplicaSet{ReplicaKey{kEast, 0}});
+
+  // On trial it gets one request in sixteen
+  clock.Advance(SlowReplicas::kFirstEjection);
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+  int tried = 0;
+  for (std::uint32_t i = 0; i < SlowReplicas::kTrialPart * 10; ++i) {
+    tried += replicas.ToAvoid().empty() ? 1 : 0;
+  }
+  REQUIRE(tried == 10);
+
+  // As fast as its siblings, it is back
+  for (int i = 0; i < 3; ++i) {
+    AnswerAll(replicas, 0);
+  }
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+  REQUIRE(replicas.ToAvoid().empty());
+}
+
+TEST_CASE("at most a tenth of a domain's replicas is ejected") {
+  ManualClock clock;
+  SlowReplicas replicas;
+  for (int i = 0; i < 5; ++i) {
+    AnswerAll(replicas, 8);
+  }
+  REQUIRE(replicas.Evaluate(clock.Now()) == 3);
+  REQUIRE(replicas.ToAvoid().size() == 3);
+}
+
+TEST_CASE("a domain that is slow as a whole ejects nobody") {
+  ManualClock clock;
+  SlowReplicas replicas;
+  for (int i = 0; i < 5; ++i) {
+    AnswerAll(replicas, 30);
+  }
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- a/packages/standin/src/upstream_standin.cpp
+++ b/packages/standin/src/upstream_standin.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 
 #include "core/clock.h"
+#include "model/range_set.h"
 #include "net/json.h"
 
 namespace jackdawrack {
@@ -20,6 +21,7 @@
 constexpr std::size_t kQueuePerSlot = 64;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kGone = 410;
+constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
 
 }  // namespace
@@ -66,6 +68,10 @@
       reply(Counts());
       return;
     }
+    if (request.m_target == "/v1/state") {
+      reply(Json(200, json::object{}));
+      return;
+    }
     auto body = ParseJsonObject(request.m_body);
     if (!body) {
       reply(Json(400, json::object{{"executed", "no"}}));
@@ -80,6 +86,11 @@
   }
 
   void Admit(Work work) {
+    if (m_swallow > 0) {
+      --m_swallow;
+      m_swallowed.push_back(std::move(work));
+      return;
+    }
     const bool is_full = m_queue.size() >= kQueuePerSlot * Slots();
     if (m_is_draining || m_is_shedding || is_full) {
       ++m_refused;
@@ -128,6 +139,9 @@
         versions.end()) {
       return Json(kConflict, json::object{{"executed", "no"}});
     }
+    if (!HoldsAll(body.at("ranges").as_array())) {
+      return Json(kMisdirected, json::object{{"executed", "no"}});
+    }
     json::array rows;
     for (const json::value& range : body.at("ranges").as_array()) {
       rows.push_back(json::string(
@@ -140,6 +154,21 @@
                                   {"rows", std::move(rows)}});
   }
 
+  // True if nothing was said of what it holds, or all of it is held.
+  [[nodiscard]] bool HoldsAll(const json::array& ranges) const {
+    for (const json::value& range : ranges) {
+      if (!m_held.IsEmpty() && !m_held.Covers(ToRange(range))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  static KeyRange ToRange(const json::value& range) {
+    return KeyRange{range.at(0).to_number<std::uint64_t>(),
+                    range.at(1).to_number<std::uint64_t>()};
+  }
+
   HttpReply RunExecute(const json::object& body) {
     // Refuse what comes too late to be run
     const auto not_after =
@@ -168,6 +197,15 @@
     if (body->contains("shedding")) {
       m_is_shedding = JsonNumber(*body, "shedding") != 0;
     }
+    if (body->contains("swallow")) {
+      m_swallow = JsonNumber(*body, "swallow");
+    }
+    if (const auto* held = body->if_contains("holds")) {
+      m_held = RangeSet();
+      for (const json::value& range : held->as_array()) {
+        m_held.Add(ToRange(range));
+      }
+    }
     if (const auto* versions = body->if_contains("versions")) {
       m_settings.m_index_versions.clear();
       for (const json::value& version : versions->as_array()) {
@@ -211,6 +249,11 @@
   asio::strand<asio::io_context::executor_type> m_strand;
   bool m_is_draining = false;
   bool m_is_shedding = false;
+  /// Requests to be left without any reply.
+  std::uint64_t m_swallow = 0;
+  std::vector<Work> m_swallowed;
+  /// Ranges that it holds; empty if it holds whatever it is asked for.
+  RangeSet m_held;
   std::uint32_t m_running = 0;
   std::deque<Work> m_queue;
   std::map<std::string, std::uint64_t> m_executions;
--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -27,6 +27,8 @@
   std::string m_limits =
       "deadline_ms = 1000\nrate_per_second = 100000\nconcurrency = 10000\n";
   std::string m_query_terms = "minimum_coverage = 0\n";
+  /// Lines of [policy] of every instance.
+  std::string m_policy;
 };
 
 /// A fleet of real processes on loopback: platform and upstream stand-ins and
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -258,13 +258,15 @@
   const auto place = member.m_first_place;
   WriteFile(
       fmt::format("{}/{}.ini", m_folder, member.m_name),
-      fmt::format("[instance]\nid = {}\nfailure_domain = {}\n\n[listen]\n"
-                  "callers = {}\npeers = {}\noperators = {}\n\n[platform]\n"
-                  "addresses = {}\n\n[stop]\nbalancer_lag_ms = {}\n",
-                  member.m_name, member.m_domain, At(place).ToText(),
-                  At(static_cast<std::uint16_t>(place + 1)).ToText(),
-                  At(static_cast<std::uint16_t>(place + 2)).ToText(),
-                  PlatformEndpoint().ToText(), m_settings.m_balancer_lag_ms));
+      fmt::format(
+          "[instance]\nid = {}\nfailure_domain = {}\n\n[listen]\n"
+          "callers = {}\npeers = {}\noperators = {}\n\n[platform]\n"
+          "addresses = {}\n\n[stop]\nbalancer_lag_ms = {}\n\n[policy]\n{}",
+          member.m_name, member.m_domain, At(place).ToText(),
+          At(static_cast<std::uint16_t>(place + 1)).ToText(),
+          At(static_cast<std::uint16_t>(place + 2)).ToText(),
+          PlatformEndpoint().ToText(), m_settings.m_balancer_lag_ms,
+          m_settings.m_policy));
 }
 
 std::string TestFleet::ContractText(std::uint64_t version) const {
--- a/packages/upstream/include/upstream/http_upstream_adapter.h
+++ b/packages/upstream/include/upstream/http_upstream_adapter.h
@@ -13,6 +13,10 @@
   /// A request that stops the query named `call`, if it still runs.
   [[nodiscard]] static HttpRequest EncodeCancel(const std::string& call);
 
+  /// A request that runs nothing and whose reply says how the upstream is.
+  [[nodiscard]] static HttpRequest EncodeProbe();
+
+  [[nodiscard]] static UpstreamReport DecodeProbe(const HttpReply& reply);
   [[nodiscard]] static UpstreamQueryReply DecodeQuery(const HttpReply& reply);
   [[nodiscard]] static UpstreamExecuteReply DecodeExecute(
       const HttpReply& reply);
--- a/packages/upstream/include/upstream/upstream_error.h
+++ b/packages/upstream/include/upstream/upstream_error.h
@@ -10,6 +10,8 @@
   kNotStarted,
   /// The work was withdrawn before it was sent.
   kCancelled,
+  /// The upstream is leaving; the work was taken back before it was sent.
+  kDraining,
   /// No connection could be made; nothing was sent.
   kUnreachable,
   /// Sent, but no whole reply came in time.
@@ -28,7 +30,8 @@
 /// True when the error proves that the upstream never got the request.
 [[nodiscard]] constexpr bool ProvesNotSent(UpstreamErrc code) {
   return code == UpstreamErrc::kNotStarted ||
-         code == UpstreamErrc::kCancelled || code == UpstreamErrc::kUnreachable;
+         code == UpstreamErrc::kCancelled || code == UpstreamErrc::kDraining ||
+         code == UpstreamErrc::kUnreachable;
 }
 
 }  // namespace jackdawrack
--- a/packages/upstream/include/upstream/upstream_messages.h
+++ b/packages/upstream/include/upstream/upstream_messages.h
@@ -31,6 +31,8 @@
 enum class UpstreamQueryStatus {
   kOk,
   kWrongVersion,
+  /// It does not hold all of the ranges; nothing was run.
+  kNotHeld,
   /// It refused without running: it sheds load or drains.
   kRefused,
   kFailed,
--- a/packages/upstream/include/upstream/upstream_pool.h
+++ b/packages/upstream/include/upstream/upstream_pool.h
@@ -5,8 +5,10 @@
 #include <memory>
 
 #include "core/clock.h"
+#include "model/query_policy_settings.h"
 #include "model/upstream.h"
 #include "net/http_message.h"
+#include "upstream/upstream_counters.h"
 #include "upstream/upstream_error.h"
 
 namespace jackdawrack {
@@ -16,6 +18,8 @@
   std::uint32_t m_running = 0;
   std::uint32_t m_queued = 0;
   bool m_is_draining = false;
+  /// True while it cannot be connected to.
+  bool m_is_lost = false;
 };
 
 /// The connections, slots and queue of one upstream.
@@ -26,14 +30,19 @@
  public:
   using ReplyHandler = std::function<void(UpstreamResult<HttpReply>)>;
 
-  UpstreamPool(boost::asio::io_context& context, Upstream upstream);
+  /// `counters` has to outlive this object.
+  UpstreamPool(boost::asio::io_context& context,
+               Upstream upstream,
+               QueryPolicySettings settings,
+               UpstreamCounters& counters);
   ~UpstreamPool();
 
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-  /// Sends a request when a slot is free, or fails it at its deadline. `call`
-  /// names it for `Cancel`.
+  /// Sends a request when a slot is free. Work that cannot end before its
+  /// deadline, by the learned service time, fails at once. `call` names it for
+  /// `Cancel`.
   void Submit(std::string call,
               HttpRequest request,
               TimePoint deadline,
@@ -43,9 +52,16 @@
   /// upstream by `cancel_request` and its reply is dropped there.
   void Cancel(std::string call, HttpRequest cancel_request);
 
-  /// Notes that the upstream said it is leaving.
+  /// Notes that the upstream said it is leaving: what waits fails as
+  /// `kDraining`, what runs goes on.
   void MarkDraining();
 
+  /// Like `MarkDraining`, for an upstream published as leaving or gone.
+  void Withdraw();
+
+  /// Asks an upstream that is leaving or lost how it is, if that is due.
+  void Probe(HttpRequest probe);
+
   [[nodiscard]] UpstreamLoad Load() const;
   [[nodiscard]] const Upstream& Target() const;
 
--- a/packages/upstream/src/http_upstream_adapter.cpp
+++ b/packages/upstream/src/http_upstream_adapter.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kGone = 410;
+constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
 
 UpstreamReport ReadReport(const HttpReply& reply) {
@@ -104,6 +105,17 @@
   return request;
 }
 
+HttpRequest HttpUpstreamAdapter::EncodeProbe() {
+  HttpRequest request;
+  request.m_method = "GET";
+  request.m_target = "/v1/state";
+  return request;
+}
+
+UpstreamReport HttpUpstreamAdapter::DecodeProbe(const HttpReply& reply) {
+  return ReadReport(reply);
+}
+
 UpstreamQueryReply HttpUpstreamAdapter::DecodeQuery(const HttpReply& reply) {
   UpstreamQueryReply decoded;
   decoded.m_report = ReadReport(reply);
@@ -111,6 +123,10 @@
     decoded.m_status = UpstreamQueryStatus::kWrongVersion;
     return decoded;
   }
+  if (reply.m_status == kMisdirected) {
+    decoded.m_status = UpstreamQueryStatus::kNotHeld;
+    return decoded;
+  }
   if (reply.m_status == kUnavailable) {
     decoded.m_status = UpstreamQueryStatus::kRefused;
     return decoded;
--- a/packages/upstream/src/upstream_pool.cpp
+++ b/packages/upstream/src/upstream_pool.cpp
@@ -9,6 +9,9 @@
 #include "core/check.h"
 #include "core/event.h"
 #include "net/http_client.h"
+#include "policy/decayed_latency.h"
+#include "policy/replica_health.h"
+#include "upstream/http_upstream_adapter.h"
 
 namespace jackdawrack {
 namespace {
@@ -24,6 +27,16 @@
 /// this part of its connection limit.
 constexpr std::uint32_t kConnectionShareDivisor = 3;
 
+/// Age at which an idle connection is closed and made anew.
+constexpr Milliseconds kMaxConnectionAge{60'000};
+
+/// Replies that have to be seen before the service time counts as known.
+constexpr double kLeastServiceSamples = 20;
+
+/// Time that a timed-out request counts as running while no service time is
+/// known.
+constexpr Milliseconds kUnknownServiceTime{100};
+
 UpstreamError FromNet(const NetError& error) {
   switch (error.m_code) {
     case NetErrc::kNotSent:
@@ -42,9 +55,14 @@
 
 class UpstreamPool::Impl final : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, Upstream upstream)
+  Impl(asio::io_context& context,
+       Upstream upstream,
+       QueryPolicySettings settings,
+       UpstreamCounters& counters)
       : m_context(context),
         m_upstream(std::move(upstream)),
+        m_settings(settings),
+        m_counters(counters),
         m_connection_share(std::max(
             1U,
             std::min(m_upstream.m_slots + kSpareConnections,
@@ -71,14 +89,26 @@
   }
 
   void MarkDraining() {
-    if (!m_draining.exchange(true)) {
-      LogEvent(EventId::kUpstreamDraining, "upstream={}",
-               m_upstream.m_id.Text());
-    }
+    asio::post(m_strand,
+               [self = shared_from_this()] { self->NoteState(true); });
+  }
+
+  void Withdraw() {
+    asio::post(m_strand, [self = shared_from_this()] {
+      if (self->m_settings.m_drain_requeue) {
+        self->TakeBackQueue(UpstreamErrc::kDraining, "published as leaving");
+      }
+    });
+  }
+
+  void Probe(HttpRequest probe) {
+    asio::post(m_strand, [self = shared_from_this(), probe = std::move(probe)] {
+      self->ProbeIfDue(probe);
+    });
   }
 
   [[nodiscard]] UpstreamLoad Load() const {
-    return UpstreamLoad{m_running, m_queued, m_draining};
+    return UpstreamLoad{m_running, m_queued, m_draining, m_lost};
   }
 
   [[nodiscard]] const Upstream& Target() const { return m_upstream; }
@@ -91,28 +121,66 @@
     ReplyHandler m_handler;
   };
 
+  struct Connection {
+    std::shared_ptr<HttpClient> m_client;
+    TimePoint m_made{};
+  };
+
   using Queue = std::multimap<TimePoint, Job>;
 
   void Enqueue(Job job) {
+    if (m_lost) {
+      job.m_handler(MakeError(UpstreamErrc::kUnreachable, "upstream is lost"));
+      return;
+    }
+    if (m_draining && m_settings.m_drain_requeue) {
+      job.m_handler(MakeError(UpstreamErrc::kDraining, "upstream is leaving"));
+      return;
+    }
     if (m_queue.size() >= kMaxQueuedPerSlot * m_upstream.m_slots) {
       job.m_handler(MakeError(UpstreamErrc::kNotStarted, "queue is full"));
       return;
     }
+    if (IsTooLate(job.m_deadline)) {
+      m_counters.m_early_refusals.Add();
+      job.m_handler(
+          MakeError(UpstreamErrc::kNotStarted, "deadline cannot be met"));
+      return;
+    }
+    if (m_running >= m_upstream.m_slots) {
+      m_counters.m_slot_waits.Add();
+    }
     const TimePoint deadline = job.m_deadline;
     m_queue.emplace(deadline, std::move(job));
     StartWhatFits();
   }
 
+  // True when work with this deadline would still wait or run at it. An idle
+  // upstream is always tried, so that the service time is learned anew.
+  [[nodiscard]] bool IsTooLate(TimePoint deadline) const {
+    if (!m_settings.m_early_refusal || m_running < m_upstream.m_slots) {
+      return false;
+    }
+    const auto service = m_service.Quantile(0.5, kLeastServiceSamples);
+    if (!service) {
+      return false;
+    }
+    const auto ahead =
+        std::distance(m_queue.begin(), m_queue.upper_bound(deadline));
+    const auto rounds = 1 + ahead / m_upstream.m_slots;
+    return SteadyClock().Now() + (rounds + 1) * *service > deadline;
+  }
+
   void StartWhatFits() {
     FailExpired();
     while (!m_queue.empty() && m_running < m_upstream.m_slots) {
-      std::shared_ptr<HttpClient> client = TakeConnection();
-      if (client == nullptr) {
+      std::optional<Connection> connection = TakeConnection();
+      if (!connection) {
         break;
       }
       Job job = std::move(m_queue.begin()->second);
       m_queue.erase(m_queue.begin());
-      Run(std::move(job), std::move(client));
+      Run(std::move(job), std::move(*connection));
     }
     m_queued = static_cast<std::uint32_t>(m_queue.size());
     ScheduleExpiry();
@@ -143,58 +211,152 @@
     });
   }
 
-  std::shared_ptr<HttpClient> TakeConnection() {
-    if (!m_idle.empty()) {
-      std::shared_ptr<HttpClient> client = std::move(m_idle.back());
+  // Takes back everything that waits; nothing of it was sent.
+  void TakeBackQueue(UpstreamErrc code, const char* why) {
+    Queue queue = std::exchange(m_queue, {});
+    m_queued = 0;
+    m_counters.m_requeued.Add(queue.size());
+    for (auto& [deadline, job] : queue) {
+      job.m_handler(MakeError(code, why));
+    }
+  }
+
+  void NoteState(bool is_draining) {
+    if (!m_health.OnReport(is_draining, SteadyClock().Now())) {
+      return;
+    }
+    m_draining = is_draining;
+    LogEvent(is_draining ? EventId::kUpstreamDraining : EventId::kUpstreamBack,
+             "upstream={}", m_upstream.m_id.Text());
+    if (is_draining && m_settings.m_drain_requeue) {
+      TakeBackQueue(UpstreamErrc::kDraining, "upstream is leaving");
+    }
+  }
+
+  void NoteConnectFailure() {
+    if (!m_settings.m_ejection ||
+        !m_health.OnConnectFailure(SteadyClock().Now())) {
+      return;
+    }
+    m_lost = true;
+    m_counters.m_ejections.Add();
+    LogEvent(EventId::kUpstreamUnreachable, "upstream={}",
+             m_upstream.m_id.Text());
+    TakeBackQueue(UpstreamErrc::kUnreachable, "upstream is lost");
+  }
+
+  void NoteReply() {
+    m_health.OnReply();
+    if (m_lost.exchange(false)) {
+      LogEvent(EventId::kUpstreamBack, "upstream={}", m_upstream.m_id.Text());
+    }
+  }
+
+  void ProbeIfDue(const HttpRequest& probe) {
+    if (!m_health.TakeProbe(SteadyClock().Now())) {
+      return;
+    }
+    std::optional<Connection> taken = TakeConnection();
+    if (!taken) {
+      return;
+    }
+    m_counters.m_probes.Add();
+    HttpClient& client = *taken->m_client;
+    client.Send(probe, kProbeTimeout,
+                [self = shared_from_this(),
+                 connection = *taken](NetResult<HttpReply> reply) {
+                  asio::post(self->m_strand, [self, connection,
+                                              reply = std::move(reply)] {
+                    if (reply) {
+                      self->NoteReply();
+                      self->NoteState(
+                          HttpUpstreamAdapter::DecodeProbe(reply.assume_value())
+                              .m_is_draining);
+                    }
+                    self->GiveBack(connection);
+                  });
+                });
+  }
+
+  std::optional<Connection> TakeConnection() {
+    const TimePoint now = SteadyClock().Now();
+    while (!m_idle.empty()) {
+      Connection connection = std::move(m_idle.back());
       m_idle.pop_back();
-      return client;
+      if (now - connection.m_made < kMaxConnectionAge) {
+        return connection;
+      }
+      --m_connections;
     }
     if (m_connections >= m_connection_share) {
-      return nullptr;
+      return std::nullopt;
     }
     ++m_connections;
     HttpClientSettings settings;
     settings.m_endpoint = m_upstream.m_endpoint;
-    return std::make_shared<HttpClient>(m_context, settings);
+    return Connection{std::make_shared<HttpClient>(m_context, settings), now};
   }
 
-  void Run(Job job, std::shared_ptr<HttpClient> client) {
+  void Run(Job job, Connection connection) {
     ++m_running;
     JR_CHECK(m_running <= m_upstream.m_slots);
     m_running_calls.insert(job.m_call);
-    const Milliseconds timeout(
-        std::max(1U, RemainingMs(SteadyClock().Now(), job.m_deadline)));
-    HttpClient& connection = *client;
-    connection.Send(
+    const TimePoint sent = SteadyClock().Now();
+    const Milliseconds timeout(std::max(1U, RemainingMs(sent, job.m_deadline)));
+    HttpClient& client = *connection.m_client;
+    client.Send(
         std::move(job.m_request), timeout,
-        [self = shared_from_this(), client = std::move(client),
-         call = std::move(job.m_call),
+        [self = shared_from_this(), connection = std::move(connection),
+         call = std::move(job.m_call), sent,
          handler = std::move(job.m_handler)](NetResult<HttpReply> reply) {
-          asio::post(self->m_strand,
-                     [self, client, call, handler, reply = std::move(reply)] {
-                       self->OnReply(client, call, handler, reply);
-                     });
+          asio::post(self->m_strand, [self, connection, call, sent, handler,
+                                      reply = std::move(reply)] {
+            self->OnReply(connection, call, sent, handler, reply);
+          });
         });
   }
 
-  void OnReply(const std::shared_ptr<HttpClient>& client,
+  void OnReply(const Connection& connection,
                const std::string& call,
+               TimePoint sent,
                const ReplyHandler& handler,
                const NetResult<HttpReply>& reply) {
     JR_CHECK(m_running > 0);
-    --m_running;
     m_running_calls.erase(call);
-    if (client->IsOpen()) {
-      m_idle.push_back(client);
+    if (reply) {
+      const TimePoint now = SteadyClock().Now();
+      m_service.Record(now - sent, now);
+      NoteReply();
+    } else if (reply.error().m_code == NetErrc::kNotSent) {
+      NoteConnectFailure();
+    }
+
+    // A request that was sent and not answered may still run there
+    if (!reply && reply.error().m_code != NetErrc::kNotSent &&
+        m_settings.m_held_slots) {
+      HoldSlot();
     } else {
-      --m_connections;
+      --m_running;
     }
     if (reply) {
       handler(reply.assume_value());
     } else {
       handler(FromNet(reply.error()));
     }
-    StartWhatFits();
+    GiveBack(connection);
+  }
+
+  // Frees the slot after the time that the upstream usually needs at most.
+  void HoldSlot() {
+    m_counters.m_held_slots.Add();
+    auto timer = std::make_shared<asio::steady_timer>(m_strand);
+    timer->expires_after(m_service.Quantile(0.99, kLeastServiceSamples)
+                             .value_or(kUnknownServiceTime));
+    timer->async_wait([self = shared_from_this(), timer](auto) {
+      JR_CHECK(self->m_running > 0);
+      --self->m_running;
+      self->StartWhatFits();
+    });
   }
 
   void CancelNow(const std::string& call, const HttpRequest& cancel_request) {
@@ -213,22 +375,24 @@
     if (m_running_calls.count(call) == 0) {
       return;
     }
-    std::shared_ptr<HttpClient> client = TakeConnection();
-    if (client == nullptr) {
+    std::optional<Connection> taken = TakeConnection();
+    if (!taken) {
       return;
     }
-    HttpClient& connection = *client;
-    connection.Send(cancel_request, kCancelTimeout,
-                    [self = shared_from_this(),
-                     client = std::move(client)](const NetResult<HttpReply>&) {
-                      asio::post(self->m_strand,
-                                 [self, client] { self->GiveBack(client); });
-                    });
+    m_counters.m_cancels.Add();
+    HttpClient& client = *taken->m_client;
+    client.Send(cancel_request, kCancelTimeout,
+                [self = shared_from_this(),
+                 connection = *taken](const NetResult<HttpReply>&) {
+                  asio::post(self->m_strand, [self, connection] {
+                    self->GiveBack(connection);
+                  });
+                });
   }
 
-  void GiveBack(const std::shared_ptr<HttpClient>& client) {
-    if (client->IsOpen()) {
-      m_idle.push_back(client);
+  void GiveBack(const Connection& connection) {
+    if (connection.m_client->IsOpen()) {
+      m_idle.push_back(connection);
     } else {
       --m_connections;
     }
@@ -236,23 +400,35 @@
   }
 
   static constexpr Milliseconds kCancelTimeout{200};
+  static constexpr Milliseconds kProbeTimeout{400};
 
   asio::io_context& m_context;
   const Upstream m_upstream;
+  const QueryPolicySettings m_settings;
+  UpstreamCounters& m_counters;
   const std::uint32_t m_connection_share;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_queue_timer;
   Queue m_queue;
   std::unordered_set<std::string> m_running_calls;
-  std::vector<std::shared_ptr<HttpClient>> m_idle;
+  std::vector<Connection> m_idle;
   std::uint32_t m_connections = 0;
   std::atomic<std::uint32_t> m_running{0};
   std::atomic<std::uint32_t> m_queued{0};
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_lost{false};
+  ReplicaHealth m_health;
+  DecayedLatency m_service;
 };
 
-UpstreamPool::UpstreamPool(asio::io_context& context, Upstream upstream)
-    : m_impl(std::make_shared<Impl>(context, std::move(upstream))) {}
+UpstreamPool::UpstreamPool(asio::io_context& context,
+                           Upstream upstream,
+                           QueryPolicySettings settings,
+                           UpstreamCounters& counters)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(upstream),
+                                    settings,
+                                    counters)) {}
 
 UpstreamPool::~UpstreamPool() = default;
 
@@ -272,6 +448,14 @@
   m_impl->MarkDraining();
 }
 
+void UpstreamPool::Withdraw() {
+  m_impl->Withdraw();
+}
+
+void UpstreamPool::Probe(HttpRequest probe) {
+  m_impl->Probe(std::move(probe));
+}
+
 UpstreamLoad UpstreamPool::Load() const {
   return m_impl->Load();
 }
