Keep the slot of a request past its deadline and give up silent connections

Cause: a query that timed out closed its connection and freed its slot while the upstream still ran it; requests swallowed by silent connections blocked every slot until their deadline.

--- a/packages/model/include/model/query_policy_settings.h
+++ b/packages/model/include/model/query_policy_settings.h
@@ -23,6 +23,8 @@
   bool m_early_refusal = true;
   /// Counts a timed-out request as running for the learned service time.
   bool m_held_slots = true;
+  /// Gives up connections whose reply is late while a newer one came.
+  bool m_silent_abandon = true;
   /// Sends nothing to an upstream that cannot be connected to.
   bool m_ejection = true;
   /// Prefers other replicas to one much slower than its siblings.
--- a/packages/model/src/query_policy_settings.cpp
+++ b/packages/model/src/query_policy_settings.cpp
@@ -17,6 +17,7 @@
   settings.m_early_refusal = reader.Flag("early_refusal", true);
   settings.m_held_slots = reader.Flag("held_slots", true);
   settings.m_ejection = reader.Flag("ejection", true);
+  settings.m_silent_abandon = reader.Flag("silent_abandon", true);
   settings.m_slow_ejection = reader.Flag("slow_ejection", true);
   reader.RefuseUnknownKeys();
   return settings;
--- a/packages/owner/src/sub_query_run.cpp
+++ b/packages/owner/src/sub_query_run.cpp
@@ -185,7 +185,8 @@
         asio::post(self->m_strand, [self, position, reply = std::move(reply)] {
           self->OnReply(position, reply);
         });
-      });
+      },
+      RepeatRule::kIdempotent);
 }
 
 void SubQueryRun::OnReply(std::size_t position,
--- a/packages/testing/tests/query_faults_test.cpp
+++ b/packages/testing/tests/query_faults_test.cpp
@@ -230,5 +230,41 @@
           kLeastComplete * static_cast<double>(result.m_sent));
 }
 
+TEST_CASE("a request past its deadline still counts for its slot",
+          "[query_faults]") {
+  TestFleetSettings settings = MakeSettings("held-slots");
+  settings.m_limits =
+      "deadline_ms = 100\nrate_per_second = 100000\nconcurrency = 10000\n";
+  TestFleet fleet(settings);
+  fleet.Start();
+  fleet.SetUpstream("u-0-0", "{\"service_ms\": 300}");
+  const QueryLoadResult result =
+      RunQueryLoad(fleet, kPerSecond, Milliseconds(3'000));
+  Print("held slots", result);
+  RequireHonest(result);
+  const auto counts = fleet.UpstreamCounts("u-0-0");
+  REQUIRE(JsonNumber(counts, "queries") > 0);
+  REQUIRE(JsonNumber(counts, "slot_overflows") == 0);
+}
+
+TEST_CASE("silent connections do not block an upstream", "[query_faults]") {
+  TestFleetSettings settings = MakeSettings("silent");
+  settings.m_policy += "\nhedging = no\nslow_ejection = no\n";
+  TestFleet fleet(settings);
+  fleet.Start();
+  (void)RunQueryLoad(fleet, kPerSecond, Milliseconds(1'000));
+
+  // As many requests as there are slots get no reply on their connections
+  fleet.SetUpstream("u-0-0", "{\"swallow\": 4}");
+  const QueryLoadResult result =
+      RunQueryLoad(fleet, kPerSecond, Milliseconds(4'000));
+  Print("silent", result);
+  fmt::print(stderr, "abandoned {}\n",
+             SumOfMetric(fleet, "jackdawrack_upstream_abandoned_connections"));
+  RequireHonest(result);
+  REQUIRE(static_cast<double>(result.m_complete) >=
+          kLeastComplete * static_cast<double>(result.m_sent));
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/upstream/include/upstream/upstream_counters.h
+++ b/packages/upstream/include/upstream/upstream_counters.h
@@ -13,6 +13,9 @@
         m_held_slots(metrics.CounterFor("jackdawrack_upstream_held_slots")),
         m_ejections(metrics.CounterFor("jackdawrack_upstream_ejections")),
         m_requeued(metrics.CounterFor("jackdawrack_upstream_requeued")),
+        m_late_replies(metrics.CounterFor("jackdawrack_upstream_late_replies")),
+        m_abandoned(
+            metrics.CounterFor("jackdawrack_upstream_abandoned_connections")),
         m_probes(metrics.CounterFor("jackdawrack_upstream_probes")),
         m_cancels(metrics.CounterFor("jackdawrack_upstream_cancellations")) {}
 
@@ -25,6 +28,10 @@
   Counter& m_ejections;
   /// Waiting requests taken back from an upstream that is leaving or lost.
   Counter& m_requeued;
+  /// Replies that came after the deadline and were dropped.
+  Counter& m_late_replies;
+  /// Connections closed because their reply was late and a newer one came.
+  Counter& m_abandoned;
   Counter& m_probes;
   Counter& m_cancels;
 };
--- a/packages/upstream/include/upstream/upstream_pool.h
+++ b/packages/upstream/include/upstream/upstream_pool.h
@@ -22,6 +22,9 @@
   bool m_is_lost = false;
 };
 
+/// Whether a request may be sent again while its first run is unknown.
+enum class RepeatRule : std::uint8_t { kNever, kIdempotent };
+
 /// The connections, slots and queue of one upstream.
 ///
 /// At most `m_slots` requests run at once; the rest wait in order of deadline.
@@ -43,10 +46,13 @@
   /// Sends a request when a slot is free. Work that cannot end before its
   /// deadline, by the learned service time, fails at once. `call` names it for
   /// `Cancel`.
+  /// The connection of an idempotent request is given up before its deadline
+  /// if it has gone silent.
   void Submit(std::string call,
               HttpRequest request,
               TimePoint deadline,
-              ReplyHandler handler);
+              ReplyHandler handler,
+              RepeatRule rule = RepeatRule::kNever);
 
   /// Withdraws a request that still waits; one that runs is cancelled at the
   /// upstream by `cancel_request` and its reply is dropped there.
--- a/packages/upstream/src/upstream_pool.cpp
+++ b/packages/upstream/src/upstream_pool.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <map>
-#include <unordered_set>
 
 #include "core/check.h"
 #include "core/event.h"
@@ -37,6 +36,15 @@
 /// known.
 constexpr Milliseconds kUnknownServiceTime{100};
 
+/// Time after the deadline in which a reply is still waited for, to know that
+/// the slot is free.
+constexpr Milliseconds kLateReplyWait{3'000};
+
+/// A request is suspected lost at this multiple of the service time, but never
+/// before the least age.
+constexpr int kSilentFactor = 10;
+constexpr Milliseconds kLeastSilentAge{250};
+
 UpstreamError FromNet(const NetError& error) {
   switch (error.m_code) {
     case NetErrc::kNotSent:
@@ -73,12 +81,14 @@
   void Submit(std::string call,
               HttpRequest request,
               TimePoint deadline,
-              ReplyHandler handler) {
-    asio::post(m_strand, [self = shared_from_this(),
-                          job = Job{std::move(call), std::move(request),
-                                    deadline, std::move(handler)}]() mutable {
-      self->Enqueue(std::move(job));
-    });
+              ReplyHandler handler,
+              RepeatRule rule) {
+    asio::post(m_strand,
+               [self = shared_from_this(),
+                job = Job{std::move(call), std::move(request), deadline,
+                          std::move(handler), rule}]() mutable {
+                 self->Enqueue(std::move(job));
+               });
   }
 
   void Cancel(std::string call, HttpRequest cancel_request) {
@@ -119,6 +129,7 @@
     HttpRequest m_request;
     TimePoint m_deadline;
     ReplyHandler m_handler;
+    RepeatRule m_rule = RepeatRule::kNever;
   };
 
   struct Connection {
@@ -126,6 +137,18 @@
     TimePoint m_made{};
   };
 
+  /// A request that was sent and holds a slot.
+  struct Sent {
+    std::string m_call;
+    Connection m_connection;
+    TimePoint m_sent{};
+    /// Empty once it was failed at its deadline; the slot stays taken.
+    ReplyHandler m_handler;
+    RepeatRule m_rule = RepeatRule::kNever;
+    bool m_is_abandoned = false;
+    std::shared_ptr<asio::steady_timer> m_deadline_timer;
+  };
+
   using Queue = std::multimap<TimePoint, Job>;
 
   void Enqueue(Job job) {
@@ -253,22 +276,26 @@
   }
 
   void ProbeIfDue(const HttpRequest& probe) {
-    if (!m_health.TakeProbe(SteadyClock().Now())) {
+    const TimePoint now = SteadyClock().Now();
+    if (m_is_probing || (!HasSilent() && !m_health.TakeProbe(now))) {
       return;
     }
     std::optional<Connection> taken = TakeConnection();
     if (!taken) {
       return;
     }
+    m_is_probing = true;
     m_counters.m_probes.Add();
     HttpClient& client = *taken->m_client;
     client.Send(probe, kProbeTimeout,
-                [self = shared_from_this(),
+                [self = shared_from_this(), now,
                  connection = *taken](NetResult<HttpReply> reply) {
-                  asio::post(self->m_strand, [self, connection,
+                  asio::post(self->m_strand, [self, now, connection,
                                               reply = std::move(reply)] {
+                    self->m_is_probing = false;
                     if (reply) {
                       self->NoteReply();
+                      self->AbandonSilent(now);
                       self->NoteState(
                           HttpUpstreamAdapter::DecodeProbe(reply.assume_value())
                               .m_is_draining);
@@ -300,50 +327,122 @@
   void Run(Job job, Connection connection) {
     ++m_running;
     JR_CHECK(m_running <= m_upstream.m_slots);
-    m_running_calls.insert(job.m_call);
-    const TimePoint sent = SteadyClock().Now();
-    const Milliseconds timeout(std::max(1U, RemainingMs(sent, job.m_deadline)));
-    HttpClient& client = *connection.m_client;
-    client.Send(
+    const std::uint64_t id = ++m_last_sent;
+    Sent& sent = m_sent[id];
+    sent.m_call = std::move(job.m_call);
+    sent.m_connection = std::move(connection);
+    sent.m_sent = SteadyClock().Now();
+    sent.m_handler = std::move(job.m_handler);
+    sent.m_rule = job.m_rule;
+    Milliseconds timeout(
+        std::max(1U, RemainingMs(sent.m_sent, job.m_deadline)));
+
+    // Wait longer than the caller does, to know when the slot is free again
+    if (m_settings.m_held_slots) {
+      StartDeadline(id, sent, timeout);
+      timeout += kLateReplyWait;
+    }
+    sent.m_connection.m_client->Send(
         std::move(job.m_request), timeout,
-        [self = shared_from_this(), connection = std::move(connection),
-         call = std::move(job.m_call), sent,
-         handler = std::move(job.m_handler)](NetResult<HttpReply> reply) {
-          asio::post(self->m_strand, [self, connection, call, sent, handler,
-                                      reply = std::move(reply)] {
-            self->OnReply(connection, call, sent, handler, reply);
+        [self = shared_from_this(), id](NetResult<HttpReply> reply) {
+          asio::post(self->m_strand, [self, id, reply = std::move(reply)] {
+            self->OnReply(id, reply);
           });
         });
   }
 
-  void OnReply(const Connection& connection,
-               const std::string& call,
-               TimePoint sent,
-               const ReplyHandler& handler,
-               const NetResult<HttpReply>& reply) {
-    JR_CHECK(m_running > 0);
-    m_running_calls.erase(call);
+  void StartDeadline(std::uint64_t id, Sent& sent, Milliseconds timeout) {
+    sent.m_deadline_timer = std::make_shared<asio::steady_timer>(m_strand);
+    sent.m_deadline_timer->expires_after(timeout);
+    sent.m_deadline_timer->async_wait(
+        [weak = weak_from_this(), id](auto error) {
+          const auto self = weak.lock();
+          if (!error && self != nullptr) {
+            self->OnDeadline(id);
+          }
+        });
+  }
+
+  // Fails a request at its deadline; the upstream may still run it, so that
+  // its slot is not given to another one.
+  void OnDeadline(std::uint64_t id) {
+    const auto found = m_sent.find(id);
+    if (found == m_sent.end() || !found->second.m_handler) {
+      return;
+    }
+    m_counters.m_held_slots.Add();
+    const ReplyHandler handler = std::exchange(found->second.m_handler, {});
+    handler(MakeError(UpstreamErrc::kTimeout, "no reply in time"));
+  }
+
+  void OnReply(std::uint64_t id, const NetResult<HttpReply>& reply) {
+    const auto found = m_sent.find(id);
+    JR_CHECK(found != m_sent.end() && m_running > 0);
+    const Sent sent = std::move(found->second);
+    m_sent.erase(found);
+    if (sent.m_deadline_timer != nullptr) {
+      sent.m_deadline_timer->cancel();
+    }
     if (reply) {
       const TimePoint now = SteadyClock().Now();
-      m_service.Record(now - sent, now);
+      m_service.Record(now - sent.m_sent, now);
       NoteReply();
+      AbandonSilent(sent.m_sent);
     } else if (reply.error().m_code == NetErrc::kNotSent) {
       NoteConnectFailure();
     }
 
-    // A request that was sent and not answered may still run there
-    if (!reply && reply.error().m_code != NetErrc::kNotSent &&
-        m_settings.m_held_slots) {
+    // A request whose connection broke may still run there
+    if (!reply && reply.error().m_code == NetErrc::kBroken &&
+        !sent.m_is_abandoned && m_settings.m_held_slots) {
       HoldSlot();
     } else {
       --m_running;
     }
-    if (reply) {
-      handler(reply.assume_value());
+    if (!sent.m_handler) {
+      m_counters.m_late_replies.Add(reply ? 1 : 0);
+    } else if (reply) {
+      sent.m_handler(reply.assume_value());
     } else {
-      handler(FromNet(reply.error()));
+      sent.m_handler(FromNet(reply.error()));
     }
-    GiveBack(connection);
+    GiveBack(sent.m_connection);
+  }
+
+  // The age at which an unanswered request is suspected of being lost.
+  [[nodiscard]] Duration SilentAge() const {
+    const auto service = m_service.Quantile(0.99, kLeastServiceSamples);
+    return std::max<Duration>(
+        service.value_or(kUnknownServiceTime) * kSilentFactor, kLeastSilentAge);
+  }
+
+  [[nodiscard]] bool IsSilent(const Sent& sent, TimePoint now) const {
+    const bool may_abandon =
+        !sent.m_handler || sent.m_rule == RepeatRule::kIdempotent;
+    return m_settings.m_silent_abandon && may_abandon && !sent.m_is_abandoned &&
+           now - sent.m_sent > SilentAge();
+  }
+
+  // Closes connections whose reply is late although something that was sent
+  // later, at `answered`, has its reply.
+  void AbandonSilent(TimePoint answered) {
+    const TimePoint now = SteadyClock().Now();
+    for (auto& [id, sent] : m_sent) {
+      if (sent.m_sent < answered && IsSilent(sent, now)) {
+        sent.m_is_abandoned = true;
+        m_counters.m_abandoned.Add();
+        LogEvent(EventId::kConnectionAbandoned, "upstream={}",
+                 m_upstream.m_id.Text());
+        sent.m_connection.m_client->Close();
+      }
+    }
+  }
+
+  [[nodiscard]] bool HasSilent() const {
+    const TimePoint now = SteadyClock().Now();
+    return std::any_of(m_sent.begin(), m_sent.end(), [&](const auto& entry) {
+      return IsSilent(entry.second, now);
+    });
   }
 
   // Frees the slot after the time that the upstream usually needs at most.
@@ -372,7 +471,10 @@
     }
 
     // Tell the upstream if it runs and a connection is to be had
-    if (m_running_calls.count(call) == 0) {
+    const bool is_running = std::any_of(
+        m_sent.begin(), m_sent.end(),
+        [&](const auto& entry) { return entry.second.m_call == call; });
+    if (!is_running) {
       return;
     }
     std::optional<Connection> taken = TakeConnection();
@@ -410,7 +512,9 @@
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_queue_timer;
   Queue m_queue;
-  std::unordered_set<std::string> m_running_calls;
+  std::map<std::uint64_t, Sent> m_sent;
+  std::uint64_t m_last_sent = 0;
+  bool m_is_probing = false;
   std::vector<Connection> m_idle;
   std::uint32_t m_connections = 0;
   std::atomic<std::uint32_t> m_running{0};
@@ -435,9 +539,10 @@
 void UpstreamPool::Submit(std::string call,
                           HttpRequest request,
                           TimePoint deadline,
-                          ReplyHandler handler) {
+                          ReplyHandler handler,
+                          RepeatRule rule) {
   m_impl->Submit(std::move(call), std::move(request), deadline,
-                 std::move(handler));
+                 std::move(handler), rule);
 }
 
 void UpstreamPool::Cancel(std::string call, HttpRequest cancel_request) {
