--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -4,6 +4,7 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "policy/direct_plan.h"
 
 namespace jackdawrack {
 namespace {
@@ -87,12 +88,18 @@
   if (collection == nullptr) {
     return QueryPlan{{}, ranges};
   }
-  return PlanQuery(*view, *collection, ranges, m_spec.m_domain, m_tried,
-                   m_slow);
+  QueryPlan plan =
+      PlanQuery(*view, *collection, ranges, m_spec.m_domain, m_tried, m_slow);
+  if (m_spec.m_direct_self) {
+    plan = MakeDirectPlan(std::move(plan), *m_spec.m_direct_self);
+  }
+  return plan;
 }
 
 void QueryRun::SendTo(const std::vector<KeyRange>& ranges) {
   const QueryPlan plan = Plan(ranges);
+  m_spec.m_trace->Planned(plan.m_shares.size(), m_merge.IndexVersion(),
+                          SteadyClock().Now());
   for (const KeyRange& range : plan.m_unplaced) {
     m_merge.Miss(range, MissReason::kNoReplica);
   }
@@ -120,6 +127,11 @@
   for (const KeyRange& range : share.m_ranges) {
     m_tried.Add(share.m_owner.m_domain, range);
   }
+  if (is_hedge) {
+    m_spec.m_trace->Hedged(share.m_owner.m_id, share.m_ranges.size(), now);
+  } else {
+    m_spec.m_trace->Sent(share.m_owner.m_id, share.m_ranges.size(), now);
+  }
   OpenCall call;
   call.m_owner = share.m_owner;
   call.m_unanswered = RangeSet(share.m_ranges);
@@ -140,10 +152,12 @@
   const auto call = m_open_calls.find(answer.m_call.m_attempt);
   if (m_is_finished || call == m_open_calls.end()) {
     m_tables.CountLateReply();
+    m_spec.m_trace->LateReply();
     LogEvent(EventId::kLateReplyDropped, "request={}",
              m_spec.m_request.ToText());
     return;
   }
+  TraceAnswer(call->second.m_owner.m_id, answer);
   for (const RangeAnswer& range : answer.m_ranges) {
     call->second.m_unanswered.Remove(range.m_range);
     OnRange(call->second, answer, range);
@@ -161,6 +175,16 @@
   FinishIfDone();
 }
 
+void QueryRun::TraceAnswer(const InstanceId& owner, const SubAnswer& answer) {
+  std::map<MissReason, std::size_t> counts;
+  for (const RangeAnswer& range : answer.m_ranges) {
+    ++counts[range.m_reason];
+  }
+  for (const auto& [reason, count] : counts) {
+    m_spec.m_trace->Answered(owner, count, reason, SteadyClock().Now());
+  }
+}
+
 void QueryRun::OnRange(OpenCall& call,
                        const SubAnswer& answer,
                        const RangeAnswer& range) {
@@ -225,6 +249,7 @@
   m_was_restarted = true;
   LogEvent(EventId::kQueryRestarted, "request={} from={} to={}",
            m_spec.m_request.ToText(), m_merge.IndexVersion(), other);
+  m_spec.m_trace->Restarted(other, SteadyClock().Now());
   WithdrawOpenCalls();
   m_merge.Restart(other);
   m_tried = TriedDomains();
@@ -282,6 +307,7 @@
   if (again.empty()) {
     return;
   }
+  m_spec.m_trace->Retried(again.size(), now);
 
   // Ask at once in the first round, later ones wait for a newer map
   if (m_replan_rounds++ == 0) {
@@ -418,6 +444,9 @@
   answer.m_rows = m_merge.Rows();
   answer.m_took = SteadyClock().Now() - m_spec.m_started;
   JR_CHECK(answer.m_missing.empty() == m_merge.IsComplete());
+  m_spec.m_trace->Finished(answer.m_missing.size(),
+                           answer.m_missing.empty() ? "complete" : "partial",
+                           SteadyClock().Now());
   m_on_done(std::move(answer));
 }
 
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -5,9 +5,11 @@
 #include <boost/asio/strand.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "entry/caller_request.h"
+#include "entry/request_trace.h"
 #include "model/contract.h"
 #include "peer/peer_router.h"
 #include "policy/fleet_view.h"
@@ -26,6 +28,9 @@
   std::shared_ptr<const CollectionMap> m_collection;
   FailureDomain m_domain;
   TimePoint m_started{};
+  std::shared_ptr<RequestTrace> m_trace;
+  /// This instance, if its domain's owners are passed by.
+  std::optional<Instance> m_direct_self;
 };
 
 /// Runs one query: pins an index version, asks the owners, merges their parts
@@ -64,6 +69,7 @@
 
   // Answers
   void OnAnswer(const SubAnswer& answer);
+  void TraceAnswer(const InstanceId& owner, const SubAnswer& answer);
   void OnRange(OpenCall& call,
                const SubAnswer& answer,
                const RangeAnswer& range);
--- a/packages/model/include/model/instance_settings.h
+++ b/packages/model/include/model/instance_settings.h
@@ -28,6 +28,9 @@
   std::size_t m_max_body_bytes = 1 << 20;
   /// Switches of the query mechanisms.
   QueryPolicySettings m_query_policy;
+  /// For measurement only: queries go to the own domain's upstreams over this
+  /// instance's own pools instead of their owners.
+  bool m_direct_baseline = false;
 
   /// Parses the text; on any problem the settings may not be used.
   static InstanceSettings Parse(const std::string& file,
--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -24,7 +24,8 @@
                                          std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections(
-      {"instance", "listen", "platform", "stop", "policy"}, problems);
+      {"instance", "listen", "platform", "stop", "baseline", "policy"},
+      problems);
   InstanceSettings settings;
 
   // Read who this instance is
@@ -70,6 +71,11 @@
   // Read which query mechanisms are on
   settings.m_query_policy =
       QueryPolicySettings::Read(file, document.FindOrEmpty("policy"), problems);
+
+  // Read what is measured against
+  IniSectionReader baseline(file, document.FindOrEmpty("baseline"), problems);
+  settings.m_direct_baseline = baseline.Flag("direct_baseline", false);
+  baseline.RefuseUnknownKeys();
   return settings;
 }
 
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <utility>
 
 #include "core/check.h"
 #include "core/clock.h"
@@ -16,6 +17,15 @@
 
 constexpr Milliseconds kHeartbeatInterval{300};
 constexpr std::uint64_t kMissedHeartbeatsAllowed = 4;
+
+/// Time after the last request of a caller in which a connection is watched by
+/// heartbeats although no call waits.
+constexpr Milliseconds kHeartbeatLinger{10'000};
+
+/// A connection without any call for this long is closed, so that control calls
+/// to ever other peers leave none behind.
+constexpr Milliseconds kIdleClose{5000};
+
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kReconnectDelay{200};
 constexpr std::size_t kMaxWaitingCalls = 20'000;
@@ -31,13 +41,12 @@
   return answer;
 }
 
-RunAnswer FailedAnswer(const RunRequest& request,
-                       Outcome outcome,
-                       const char* reason) {
+RunAnswer FailedAnswer(const RunRequest& request, bool was_sent) {
   RunAnswer answer;
   answer.m_call = request.m_call;
-  answer.m_outcome = outcome;
-  answer.m_reason = reason;
+  answer.m_outcome = Outcome::kUnknown;
+  answer.m_reason = was_sent ? "owner_lost" : "owner_unreachable";
+  answer.m_is_retryable = !was_sent;
   return answer;
 }
 
@@ -83,6 +92,20 @@
     });
   }
 
+  void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), wishes = std::move(wishes),
+                          sink = std::move(sink)]() mutable {
+      self->SendShareAsk(std::move(wishes), std::move(sink));
+    });
+  }
+
+  void Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), body = std::move(body),
+                          sink = std::move(sink)]() mutable {
+      self->SendLeaseCall(std::move(body), std::move(sink));
+    });
+  }
+
   void Close() {
     asio::post(m_strand, [self = shared_from_this()] {
       self->m_closed = true;
@@ -105,6 +128,7 @@
   };
 
   void SendSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall() || m_queries.size() >= kMaxWaitingCalls) {
       sink(FailedAnswer(query, MissReason::kUnreachable));
       return;
@@ -119,8 +143,9 @@
   }
 
   void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall()) {
-      sink(FailedAnswer(request, Outcome::kNotRun, "owner_unreachable"));
+      sink(FailedAnswer(request, false));
       return;
     }
     const CallId call = request.m_call;
@@ -152,9 +177,39 @@
     }
   }
 
+  // Drops the ask while the peer is unreachable; asks are repeated often.
+  void SendShareAsk(std::vector<ShareWish> wishes,
+                    PeerService::ShareSink sink) {
+    if (!PrepareCall()) {
+      return;
+    }
+    ShareAsk ask{++m_last_share_ask, std::move(wishes)};
+    m_share_asks.emplace(ask.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(ask);
+    } else {
+      m_unsent_share_asks.push_back(std::move(ask));
+    }
+  }
+
+  void SendLeaseCall(LeaseCallBody body, PeerService::LeaseSink sink) {
+    if (!PrepareCall() || m_lease_calls.size() >= kMaxWaitingCalls) {
+      sink(std::nullopt);
+      return;
+    }
+    LeaseCall call{++m_last_lease_call, std::move(body)};
+    m_lease_calls.emplace(call.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(call);
+    } else {
+      m_unsent_lease_calls.push_back(std::move(call));
+    }
+  }
+
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
-    if (m_closed || SteadyClock().Now() < m_no_connect_before) {
+    m_last_call_at = SteadyClock().Now();
+    if (m_closed || m_last_call_at < m_no_connect_before) {
       return false;
     }
     if (m_connection == nullptr && !m_connecting) {
@@ -220,6 +275,18 @@
     if (m_connection == nullptr) {
       return;
     }
+    // Close what nobody needs, and spare heartbeats where no call waits
+    const TimePoint now = SteadyClock().Now();
+    const bool is_in_use = now - m_last_request_at < kHeartbeatLinger;
+    if (!HasWaitingCalls() && !is_in_use) {
+      if (now - m_last_call_at > kIdleClose) {
+        CloseIdle();
+      } else {
+        ScheduleHeartbeat();
+      }
+      return;
+    }
+
     // Check if the connection has gone silent
     if (m_heartbeats_sent - m_heartbeats_answered > kMissedHeartbeatsAllowed) {
       Drop();
@@ -229,6 +296,18 @@
     ScheduleHeartbeat();
   }
 
+  // Forgets the connection first, so that the next call opens another one.
+  void CloseIdle() {
+    m_was_idle = true;
+    m_ready = false;
+    const auto connection = std::exchange(m_connection, nullptr);
+    connection->Close();
+  }
+
+  [[nodiscard]] bool HasWaitingCalls() const {
+    return !m_queries.empty() || !m_runs.empty() || !m_controls.empty();
+  }
+
   void Drop() {
     if (m_connection != nullptr) {
       m_connection->Close();
@@ -252,20 +331,23 @@
     const auto queries = std::exchange(m_queries, {});
     const auto runs = std::exchange(m_runs, {});
     const auto controls = std::exchange(m_controls, {});
+    const auto lease_calls = std::exchange(m_lease_calls, {});
+    m_unsent_lease_calls.clear();
     m_unsent_controls.clear();
+    m_share_asks.clear();
+    m_unsent_share_asks.clear();
     for (const auto& [call, waiting] : queries) {
       waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
     }
     for (const auto& [call, waiting] : runs) {
-      waiting.m_sink(
-          waiting.m_was_sent
-              ? FailedAnswer(waiting.m_request, Outcome::kUnknown, "owner_lost")
-              : FailedAnswer(waiting.m_request, Outcome::kNotRun,
-                             "owner_unreachable"));
+      waiting.m_sink(FailedAnswer(waiting.m_request, waiting.m_was_sent));
     }
     for (const auto& [number, sink] : controls) {
       sink({});
     }
+    for (const auto& [number, sink] : lease_calls) {
+      sink(std::nullopt);
+    }
   }
 
   void On(Hello hello) {
@@ -277,7 +359,9 @@
       Drop();
       return;
     }
-    LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    if (!std::exchange(m_was_idle, false)) {
+      LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    }
     m_ready = true;
     for (const auto& [call, waiting] : m_queries) {
       m_connection->Send(waiting.m_query);
@@ -289,6 +373,14 @@
       m_connection->Send(control);
     }
     m_unsent_controls.clear();
+    for (const ShareAsk& ask : m_unsent_share_asks) {
+      m_connection->Send(ask);
+    }
+    m_unsent_share_asks.clear();
+    for (const LeaseCall& call : m_unsent_lease_calls) {
+      m_connection->Send(call);
+    }
+    m_unsent_lease_calls.clear();
   }
 
   void On(Heartbeat heartbeat) {
@@ -331,11 +423,33 @@
     sink(std::move(reply.m_text));
   }
 
+  void On(ShareReply reply) {
+    const auto found = m_share_asks.find(reply.m_number);
+    if (found == m_share_asks.end()) {
+      return;
+    }
+    const PeerService::ShareSink sink = std::move(found->second);
+    m_share_asks.erase(found);
+    sink(std::move(reply.m_grants));
+  }
+
+  void On(LeaseReply reply) {
+    const auto found = m_lease_calls.find(reply.m_number);
+    if (found == m_lease_calls.end()) {
+      return;
+    }
+    const PeerService::LeaseSink sink = std::move(found->second);
+    m_lease_calls.erase(found);
+    sink(std::move(reply.m_body));
+  }
+
   // Calls do not arrive on a dialled connection.
   void On(const SubQuery&) { Drop(); }
   void On(const jackdawrack::Cancel&) { Drop(); }
   void On(const RunRequest&) { Drop(); }
   void On(const ControlCall&) { Drop(); }
+  void On(const ShareAsk&) { Drop(); }
+  void On(const LeaseCall&) { Drop(); }
 
   const Instance m_target;
   const Hello m_self;
@@ -349,6 +463,10 @@
   bool m_ready = false;
   bool m_closed = false;
   TimePoint m_no_connect_before{};
+  TimePoint m_last_call_at{};
+  TimePoint m_last_request_at{};
+  /// True from a close for want of calls until the next connection is ready.
+  bool m_was_idle = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
@@ -358,6 +476,12 @@
   std::unordered_map<std::uint64_t, ControlSink> m_controls;
   std::vector<ControlCall> m_unsent_controls;
   std::uint64_t m_last_control = 0;
+  std::unordered_map<std::uint64_t, PeerService::ShareSink> m_share_asks;
+  std::vector<ShareAsk> m_unsent_share_asks;
+  std::uint64_t m_last_share_ask = 0;
+  std::unordered_map<std::uint64_t, PeerService::LeaseSink> m_lease_calls;
+  std::vector<LeaseCall> m_unsent_lease_calls;
+  std::uint64_t m_last_lease_call = 0;
 };
 
 PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
@@ -385,6 +509,15 @@
   m_impl->Call(std::move(text), std::move(sink));
 }
 
+void PeerClient::Ask(std::vector<ShareWish> wishes,
+                     PeerService::ShareSink sink) {
+  m_impl->Ask(std::move(wishes), std::move(sink));
+}
+
+void PeerClient::Call(LeaseCallBody body, PeerService::LeaseSink sink) {
+  m_impl->Call(std::move(body), std::move(sink));
+}
+
 void PeerClient::Close() {
   m_impl->Close();
 }
