--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -32,7 +32,8 @@
                                          std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
   document.RefuseUnknownSections(
-      {"instance", "listen", "platform", "stop", "baseline"}, problems);
+      {"instance", "listen", "platform", "stop", "baseline", "policy"},
+      problems);
   document.CheckNames({}, problems);
   InstanceSettings settings;
 
@@ -77,6 +78,10 @@
       stop.Number("balancer_lag_ms", NumberBounds{0, kMaxBalancerLagMs}, 1000));
   stop.RefuseUnknownKeys();
 
+  // Read which query mechanisms are on
+  settings.m_query_policy =
+      QueryPolicySettings::Read(file, document.FindOrEmpty("policy"), problems);
+
   // Read what is measured against
   IniSectionReader baseline(file, document.FindOrEmpty("baseline"), problems);
   settings.m_direct_baseline = baseline.Flag("direct_baseline", false);
