--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -71,7 +71,8 @@
                 m_settings.m_domain,
                 m_holder,
                 m_metrics),
-        m_router(m_workers.Context(), m_hello, MakeService()),
+        m_traffic(m_metrics),
+        m_router(m_workers.Context(), m_hello, MakeService(), m_traffic),
         m_control(m_workers.Context(),
                   m_settings,
                   m_router,
@@ -85,7 +86,8 @@
         m_peer_server(m_workers.Context(),
                       m_settings.m_peers,
                       m_hello,
-                      MakeService()),
+                      MakeService(),
+                      m_traffic),
         m_callers(m_workers.Context(),
                   MakeServerSettings(m_settings, m_settings.m_callers),
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
@@ -206,6 +208,7 @@
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
   OwnerService m_owner;
+  const PeerTraffic m_traffic;
   PeerRouter m_router;
   ControlService m_control;
   EntryService m_entry;
--- a/packages/fleet/src/control_metrics.h
+++ b/packages/fleet/src/control_metrics.h
@@ -8,8 +8,8 @@
 /// type, number and size.
 inline constexpr std::uint64_t kControlFrameBytes = 24;
 
-/// Counters of the control plane of one instance; bytes are those of frames to
-/// and from peers and of the configuration service's replies.
+/// Counters of the control plane of one instance; control bytes are those
+/// of the control frames to and from peers.
 struct ControlMetrics final {
   explicit ControlMetrics(MetricsRegistry& registry)
       : m_bytes_sent(
@@ -26,6 +26,8 @@
             registry.CounterFor("jackdawrack_platform_calls_total")),
         m_platform_failures(
             registry.CounterFor("jackdawrack_platform_failures_total")),
+        m_platform_bytes(
+            registry.CounterFor("jackdawrack_platform_bytes_received_total")),
         m_values_applied(
             registry.CounterFor("jackdawrack_config_values_applied_total")),
         m_exchange_gap(
@@ -38,6 +40,8 @@
   Counter& m_calls_failed;
   Counter& m_platform_calls;
   Counter& m_platform_failures;
+  /// Bytes of the configuration service's reply bodies.
+  Counter& m_platform_bytes;
   Counter& m_values_applied;
   /// Time between two exchanges with any peer.
   LatencyHistogram& m_exchange_gap;
--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -206,7 +206,7 @@
   void OnPlatform(const PlatformResult<PlatformChanges>& changes) {
     const TimePoint now = SteadyClock().Now();
     const std::uint64_t bytes = m_platform.BytesReceived();
-    m_metrics.m_bytes_received.Add(bytes -
+    m_metrics.m_platform_bytes.Add(bytes -
                                    std::exchange(m_platform_bytes, bytes));
     if (!changes) {
       m_metrics.m_platform_failures.Add();
--- a/packages/peer/include/peer/peer_client.h
+++ b/packages/peer/include/peer/peer_client.h
@@ -6,6 +6,7 @@
 
 #include "model/instance.h"
 #include "peer/peer_service.h"
+#include "peer/peer_traffic.h"
 
 namespace jackdawrack {
 
@@ -19,7 +20,10 @@
   /// An empty text means that no reply came.
   using ControlSink = PeerService::ControlSink;
 
-  PeerClient(boost::asio::io_context& context, Instance target, Hello self);
+  PeerClient(boost::asio::io_context& context,
+             Instance target,
+             Hello self,
+             const PeerTraffic& traffic);
   ~PeerClient();
 
   PeerClient(const PeerClient&) = delete;
--- a/packages/peer/include/peer/peer_connection.h
+++ b/packages/peer/include/peer/peer_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "peer/frame_codec.h"
+#include "peer/peer_traffic.h"
 
 namespace jackdawrack {
 
@@ -18,7 +19,8 @@
   using FrameHandler = std::function<void(PeerFrame)>;
   using ClosedHandler = std::function<void()>;
 
-  explicit PeerConnection(boost::asio::ip::tcp::socket socket);
+  PeerConnection(boost::asio::ip::tcp::socket socket,
+                 const PeerTraffic& traffic);
 
   /// Starts to read; `on_closed` is called once, after the last frame.
   void Start(FrameHandler on_frame, ClosedHandler on_closed);
@@ -31,10 +33,6 @@
 
   [[nodiscard]] bool IsOpen() const { return m_open; }
 
-  /// Bytes sent and received so far, for the control cost.
-  [[nodiscard]] std::uint64_t BytesSent() const { return m_bytes_sent; }
-  [[nodiscard]] std::uint64_t BytesReceived() const { return m_bytes_received; }
-
  private:
   void ReadHeader();
   void ReadBody(std::uint32_t size);
@@ -43,6 +41,7 @@
   void OnError();
 
   boost::asio::ip::tcp::socket m_socket;
+  const PeerTraffic m_traffic;
   FrameHandler m_on_frame;
   ClosedHandler m_on_closed;
   bool m_open = true;
@@ -50,13 +49,11 @@
   // Reading
   std::array<char, 4> m_header{};
   std::string m_body;
-  std::uint64_t m_bytes_received = 0;
 
   // Writing
   std::deque<std::string> m_queue;
   std::string m_writing;
   std::size_t m_queued_bytes = 0;
-  std::uint64_t m_bytes_sent = 0;
 };
 
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/peer_router.h
+++ b/packages/peer/include/peer/peer_router.h
@@ -13,7 +13,10 @@
 class PeerRouter final {
  public:
   /// `local` serves the calls that this instance makes to itself.
-  PeerRouter(boost::asio::io_context& context, Hello self, PeerService local);
+  PeerRouter(boost::asio::io_context& context,
+             Hello self,
+             PeerService local,
+             const PeerTraffic& traffic);
 
   /// Sends a sub-query; the sink gets parts until one is the last.
   void Send(const Instance& target,
@@ -53,6 +56,7 @@
   boost::asio::io_context& m_context;
   const Hello m_self;
   const PeerService m_local;
+  const PeerTraffic m_traffic;
   RankedMutex m_mutex{LockRank::kPeerPool};
   std::unordered_map<InstanceId, std::shared_ptr<PeerClient>> m_clients;
 };
--- a/packages/peer/include/peer/peer_server.h
+++ b/packages/peer/include/peer/peer_server.h
@@ -6,6 +6,7 @@
 #include "model/endpoint.h"
 #include "net/net_error.h"
 #include "peer/peer_service.h"
+#include "peer/peer_traffic.h"
 
 namespace jackdawrack {
 
@@ -16,7 +17,8 @@
   PeerServer(boost::asio::io_context& context,
              Endpoint endpoint,
              Hello self,
-             PeerService service);
+             PeerService service,
+             const PeerTraffic& traffic);
   ~PeerServer();
 
   PeerServer(const PeerServer&) = delete;
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -54,9 +54,13 @@
 
 class PeerClient::Impl final : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, Instance target, Hello self)
+  Impl(asio::io_context& context,
+       Instance target,
+       Hello self,
+       const PeerTraffic& traffic)
       : m_target(std::move(target)),
         m_self(std::move(self)),
+        m_traffic(traffic),
         m_strand(asio::make_strand(context)),
         m_timer(m_strand),
         m_connect_timer(m_strand) {}
@@ -247,7 +251,8 @@
       FailAll();
       return;
     }
-    m_connection = std::make_shared<PeerConnection>(std::move(socket));
+    m_connection =
+        std::make_shared<PeerConnection>(std::move(socket), m_traffic);
     m_connection->Start(
         [self = shared_from_this()](PeerFrame frame) {
           std::visit([&](auto& message) { self->On(std::move(message)); },
@@ -454,6 +459,7 @@
 
   const Instance m_target;
   const Hello m_self;
+  const PeerTraffic m_traffic;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_timer;
   asio::steady_timer m_connect_timer;
@@ -485,10 +491,14 @@
   std::uint64_t m_last_lease_call = 0;
 };
 
-PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
-    : m_impl(
-          std::make_shared<Impl>(context, std::move(target), std::move(self))) {
-}
+PeerClient::PeerClient(asio::io_context& context,
+                       Instance target,
+                       Hello self,
+                       const PeerTraffic& traffic)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(target),
+                                    std::move(self),
+                                    traffic)) {}
 
 PeerClient::~PeerClient() {
   m_impl->Close();
--- a/packages/peer/src/peer_connection.cpp
+++ b/packages/peer/src/peer_connection.cpp
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-PeerConnection::PeerConnection(asio::ip::tcp::socket socket)
-    : m_socket(std::move(socket)) {
+PeerConnection::PeerConnection(asio::ip::tcp::socket socket,
+                               const PeerTraffic& traffic)
+    : m_socket(std::move(socket)), m_traffic(traffic) {
   ApplySocketOptions(m_socket, kUserTimeout);
 }
 
@@ -83,7 +84,7 @@
 }
 
 void PeerConnection::OnBody(std::size_t size) {
-  m_bytes_received += size + m_header.size();
+  m_traffic.m_bytes_received.Add(size + m_header.size());
   std::optional<PeerFrame> frame = BinaryCodec::Decode(m_body);
   if (!frame) {
     LogEvent(EventId::kFrameRefused, "bytes={} undecodable", size);
@@ -104,7 +105,7 @@
   m_queue.clear();
   asio::async_write(m_socket, asio::buffer(m_writing),
                     [self = shared_from_this()](auto error, std::size_t sent) {
-                      self->m_bytes_sent += sent;
+                      self->m_traffic.m_bytes_sent.Add(sent);
                       self->m_queued_bytes -= self->m_writing.size();
                       self->m_writing.clear();
                       if (error) {
--- a/packages/peer/src/peer_router.cpp
+++ b/packages/peer/src/peer_router.cpp
@@ -6,8 +6,12 @@
 
 PeerRouter::PeerRouter(boost::asio::io_context& context,
                        Hello self,
-                       PeerService local)
-    : m_context(context), m_self(std::move(self)), m_local(std::move(local)) {}
+                       PeerService local,
+                       const PeerTraffic& traffic)
+    : m_context(context),
+      m_self(std::move(self)),
+      m_local(std::move(local)),
+      m_traffic(traffic) {}
 
 void PeerRouter::Send(const Instance& target,
                       SubQuery query,
@@ -75,7 +79,7 @@
   // Replace the client of an instance that came back at another address
   if (client == nullptr ||
       client->Target().m_peer_endpoint != target.m_peer_endpoint) {
-    client = std::make_shared<PeerClient>(m_context, target, m_self);
+    client = std::make_shared<PeerClient>(m_context, target, m_self, m_traffic);
   }
   return client;
 }
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -17,9 +17,11 @@
  public:
   PeerSession(asio::ip::tcp::socket socket,
               const Hello& self,
-              const PeerService& service)
+              const PeerService& service,
+              const PeerTraffic& traffic)
       : m_executor(socket.get_executor()),
-        m_connection(std::make_shared<PeerConnection>(std::move(socket))),
+        m_connection(
+            std::make_shared<PeerConnection>(std::move(socket), traffic)),
         m_self(self),
         m_service(service) {}
 
@@ -112,11 +114,13 @@
   Impl(asio::io_context& context,
        Endpoint endpoint,
        Hello self,
-       PeerService service)
+       PeerService service,
+       const PeerTraffic& traffic)
       : m_context(context),
         m_endpoint(std::move(endpoint)),
         m_self(std::move(self)),
         m_service(std::move(service)),
+        m_traffic(traffic),
         m_acceptor(asio::make_strand(context)) {}
 
   NetResult<void> Start() {
@@ -171,8 +175,8 @@
 
   void StartSession(asio::ip::tcp::socket socket) {
     const auto executor = socket.get_executor();
-    auto session =
-        std::make_shared<PeerSession>(std::move(socket), m_self, m_service);
+    auto session = std::make_shared<PeerSession>(std::move(socket), m_self,
+                                                 m_service, m_traffic);
     m_sessions.insert(session);
     asio::post(executor, [self = shared_from_this(), session] {
       session->Start([self, session] {
@@ -186,6 +190,7 @@
   const Endpoint m_endpoint;
   const Hello m_self;
   const PeerService m_service;
+  const PeerTraffic m_traffic;
   asio::ip::tcp::acceptor m_acceptor;
   std::set<std::shared_ptr<PeerSession>> m_sessions;
 };
@@ -193,11 +198,13 @@
 PeerServer::PeerServer(asio::io_context& context,
                        Endpoint endpoint,
                        Hello self,
-                       PeerService service)
+                       PeerService service,
+                       const PeerTraffic& traffic)
     : m_impl(std::make_shared<Impl>(context,
                                     std::move(endpoint),
                                     std::move(self),
-                                    std::move(service))) {}
+                                    std::move(service),
+                                    traffic)) {}
 
 PeerServer::~PeerServer() {
   Stop();
