--- /dev/null
+++ b/packages/fleet/bench/control_scale.cpp
@@ -0,0 +1,230 @@
+#include <fmt/format.h>
+#include <malloc.h>
+
+#include <ctime>
+#include <random>
+
+#include "fleet/control_codec.h"
+#include "fleet/control_server.h"
+#include "policy/control_policy.h"
+#include "policy/fleet_view.h"
+
+// Measures the control plane of one plain peer at the size of the target,
+// without sockets: processor time, bytes of control texts and memory over
+// simulated minutes of probes, changes of contracts and restarts of instances.
+namespace jackdawrack {
+namespace {
+
+constexpr std::size_t kInstances = 3'800;
+constexpr std::size_t kDomains = 20;
+constexpr std::size_t kContracts = 20'000;
+constexpr Milliseconds kRun{120'000};
+constexpr double kDaySeconds = 86'400;
+constexpr double kChangesPerSecond = 56'000 / kDaySeconds;
+/// Each replaced instance leaves and comes back.
+constexpr double kNoticesPerSecond = 2 * 5'100 / kDaySeconds;
+/// Probes that a node gets in a second: as many as one sends.
+constexpr double kProbesPerSecond = 1.1;
+/// Share of probes that meet a difference, about the spread of a change
+/// (0.15 s) times the rate of changes.
+constexpr double kDifferingShare = 0.1;
+constexpr unsigned kSeed = 1;
+
+std::string InstanceName(std::size_t i) {
+  return fmt::format("instance-{}", i);
+}
+
+FailureDomain DomainOf(std::size_t i) {
+  return FailureDomain(fmt::format("domain-{}", i % kDomains));
+}
+
+PublishedValue ListValue() {
+  std::string text;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    text += fmt::format(
+        "[instance {}]\nfailure_domain = {}\npeers = 10.{}.{}.1:7000\n",
+        InstanceName(i), DomainOf(i).Text(), i / 250, i % 250);
+  }
+  return PublishedValue{"instances", 1, text, 0};
+}
+
+PublishedValue ContractValue(std::size_t number, std::uint64_t version) {
+  return PublishedValue{
+      fmt::format("contracts/customer-{}", number), version,
+      fmt::format("[contract]\ncustomer = customer-{}\nversion = {}\n\n"
+                  "[limits]\ndeadline_ms = 340\nrate_per_second = 1000\n"
+                  "concurrency = 100\n\n[query]\nminimum_coverage = 0.99\n\n"
+                  "[kind look]\ncollection = data\nidempotent = yes\n\n"
+                  "[kind book]\ncollection = data\nidempotent = no\n",
+                  number, version),
+      0};
+}
+
+double ProcessorSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double HeapMb() {
+  return static_cast<double>(mallinfo2().uordblks) / 1e6;
+}
+
+class Measurement final {
+ public:
+  Measurement()
+      : m_heap_before(HeapMb()),
+        m_policy({InstanceId(InstanceName(0)), DomainOf(0), kSeed},
+                 m_clock.Now()) {}
+
+  void Load() {
+    std::vector<PublishedValue> values{ListValue()};
+    for (std::size_t i = 0; i < kContracts; ++i) {
+      values.push_back(ContractValue(i, 1));
+    }
+    m_policy.OnTick(m_clock.Now());
+    (void)m_policy.NextPlatformRead(m_clock.Now());
+    m_policy.OnPlatformRead(1, values, m_clock.Now());
+    CarryOut();
+  }
+
+  void Run() {
+    const double before = ProcessorSeconds();
+    Milliseconds run{0};
+    for (; run < kRun; run += kControlTick) {
+      m_clock.Advance(kControlTick);
+      m_policy.OnTick(m_clock.Now());
+      CarryOut();
+      RunPeers();
+    }
+    const double seconds = static_cast<double>(run.count()) / 1000;
+    const double used = ProcessorSeconds() - before;
+    Print("processor time", 100 * used / seconds, "% of a core");
+    Print("of that, views after a change", 100 * m_view_seconds / seconds,
+          "% of a core");
+    Print("control bytes in and out", m_bytes / seconds, "B/s");
+    Print("control calls in and out", m_calls / seconds, "/s");
+    Print("control plane's tables", HeapMb() - m_heap_before, "MB");
+  }
+
+ private:
+  static void Print(const char* what, double value, const char* unit) {
+    fmt::print("| {} | {:.3f} | {} |\n", what, value, unit);
+  }
+
+  // True at `rate` a second on average.
+  bool IsDue(double rate) {
+    const double share = rate * kControlTick.count() / 1000.0;
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+  }
+
+  std::size_t SomePeer() {
+    const std::size_t in_domain = kInstances / kDomains - 1;
+    return kDomains * (1 + m_random() % in_domain);
+  }
+
+  // What the rest of the fleet sends to this instance.
+  void RunPeers() {
+    if (IsDue(kProbesPerSecond)) {
+      ControlMessage probe = FromPeer(SomePeer());
+      if (std::bernoulli_distribution(kDifferingShare)(m_random)) {
+        probe.m_root_hash ^= 1;
+      }
+      Request(probe);
+    }
+    if (IsDue(kChangesPerSecond)) {
+      ControlMessage push = FromPeer(SomePeer());
+      push.m_kind = ControlKind::kPush;
+      push.m_tree_root = push.m_sender.m_instance;
+      push.m_values = {ContractValue(m_random() % kContracts, ++m_version)};
+      Request(push);
+    }
+    if (IsDue(kNoticesPerSecond)) {
+      ControlMessage push = FromPeer(SomePeer());
+      push.m_kind = ControlKind::kPush;
+      push.m_tree_root = push.m_sender.m_instance;
+      push.m_notices = {NextNotice()};
+      Request(push);
+    }
+  }
+
+  MemberNotice NextNotice() {
+    ++m_notices;
+    const std::uint64_t subject = 1 + (m_notices / 2) % (kInstances - 1);
+    const bool is_back = m_notices % 2 == 1;
+    return MemberNotice{InstanceId(InstanceName(subject)),
+                        is_back ? MemberState::kAlive : MemberState::kLeaving,
+                        m_notices};
+  }
+
+  ControlMessage FromPeer(std::size_t peer) {
+    ControlMessage message;
+    message.m_sender.m_instance = InstanceId(InstanceName(peer));
+    message.m_root_hash = m_policy.Store().RootHash();
+    message.m_has_age = true;
+    message.m_age_ms = 1500;
+    return message;
+  }
+
+  void Request(const ControlMessage& message) {
+    const std::string request = EncodeControlRequest(message);
+    const std::string reply =
+        m_server.Handle(request, [&](const ControlMessage& heard) {
+          return m_policy.OnRequest(heard.m_sender.m_instance, DomainOf(0),
+                                    heard, m_clock.Now());
+        });
+    m_bytes += static_cast<double>(request.size() + reply.size());
+    ++m_calls;
+    CarryOut();
+  }
+
+  void CarryOut() {
+    ControlDecisions decisions = m_policy.Take();
+    if (decisions.m_is_view_changed) {
+      const double before = ProcessorSeconds();
+      m_view = std::make_shared<const FleetView>(m_policy.View(), *m_view);
+      m_view_seconds += ProcessorSeconds() - before;
+    }
+    for (const ControlSend& send : decisions.m_sends) {
+      Answer(send);
+    }
+    if (m_policy.NextPlatformRead(m_clock.Now())) {
+      m_policy.OnPlatformRead(1, {}, m_clock.Now());
+    }
+  }
+
+  // Lets the called peer agree.
+  void Answer(const ControlSend& send) {
+    const std::string request = EncodeControlRequest(send.m_message);
+    const std::string reply =
+        m_server.Handle(request, [&](const ControlMessage&) {
+          ControlMessage answer = FromPeer(0);
+          answer.m_sender.m_instance = send.m_target.m_id;
+          return answer;
+        });
+    m_bytes += static_cast<double>(request.size() + reply.size());
+    ++m_calls;
+    m_policy.OnReply(send.m_token, DecodeControlReply(reply), m_clock.Now());
+  }
+
+  const double m_heap_before;
+  std::mt19937 m_random{kSeed};
+  ManualClock m_clock;
+  ControlPolicy m_policy;
+  ControlServer m_server;
+  std::shared_ptr<const FleetView> m_view =
+      std::make_shared<const FleetView>(FleetState());
+  std::uint64_t m_version = 1;
+  std::uint64_t m_notices = 0;
+  double m_view_seconds = 0;
+  double m_bytes = 0;
+  double m_calls = 0;
+};
+
+}  // namespace
+}  // namespace jackdawrack
+
+int main() {
+  jackdawrack::Measurement measurement;
+  measurement.Load();
+  measurement.Run();
+  return 0;
+}
