--- a/packages/testing/tests/config_spread_test.cpp
+++ b/packages/testing/tests/config_spread_test.cpp
@@ -150,6 +150,27 @@
   REQUIRE(WaitForCount(fleet, 21, all));
 }
 
+TEST_CASE("an instance that was paused is current soon after it wakes") {
+  TestFleet fleet(ThreeDomains("spread-pause"));
+  fleet.Start();
+  fleet.Process("west-2").Signal(SIGSTOP);
+  fleet.PublishContract(2);
+  std::this_thread::sleep_for(Milliseconds(6000));
+  fleet.Process("west-2").Signal(SIGCONT);
+  REQUIRE(WaitForCount(fleet, 2, fleet.InstanceNames().size()));
+
+  // Its peers count it as live again, and it them
+  const TimePoint back_by = SteadyClock().Now() + 2 * kInForce;
+  for (const std::string other : {"west-1", "west-3"}) {
+    INFO("between west-2 and " << other);
+    while (MemberState(fleet, other, "west-2") != "alive" ||
+           MemberState(fleet, "west-2", other) != "alive") {
+      REQUIRE(SteadyClock().Now() < back_by);
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+}
+
 TEST_CASE("a leaver is told to every instance before it stops") {
   TestFleetSettings settings = ThreeDomains("spread-leave");
   settings.m_balancer_lag_ms = 4000;
