--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -10,6 +10,7 @@
 #include "entry/entry_service.h"
 #include "fleet/control_service.h"
 #include "net/http_server.h"
+#include "net/outbound_address.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
 #include "peer/peer_router.h"
@@ -47,6 +48,10 @@
   entry.m_instance = settings.m_id;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  if (settings.m_direct_baseline) {
+    entry.m_direct_self = Instance{settings.m_id, settings.m_domain,
+                                   settings.m_peers, InstanceState::kLive};
+  }
   return entry;
 }
 
@@ -110,6 +115,7 @@
   ~Impl() { m_workers.Stop(); }
 
   NetResult<void> Start() {
+    SetOutboundAddress(m_workers.Context(), m_settings.m_outbound_address);
     for (auto start :
          {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
       if (!start) {
@@ -123,6 +129,10 @@
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
              m_settings.m_callers.ToText());
+    if (m_settings.m_direct_baseline) {
+      LogEvent(EventId::kDirectBaseline, "domain={}",
+               m_settings.m_domain.Text());
+    }
     return boost::outcome_v2::success();
   }
 
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -13,7 +13,7 @@
 namespace jackdawrack {
 
 /// What operators and the balancer ask an instance: liveness, readiness,
-/// metrics, status and contracts. It changes nothing.
+/// metrics, status, contracts and traces. It changes nothing.
 class OperatorApi final {
  public:
   /// All references have to outlive this object.
@@ -25,13 +25,15 @@
               const OwnerService& owner,
               const std::atomic<bool>& stopping);
 
-  /// Serves /healthz, /readyz, /metrics, /v1/status and /v1/contracts.
+  /// Serves /healthz, /readyz, /metrics, /v1/status, /v1/contracts
+  /// and /v1/explain/<request id>.
   [[nodiscard]] HttpReply Handle(const HttpRequest& request);
 
  private:
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] HttpReply Status() const;
   [[nodiscard]] HttpReply Contracts() const;
+  [[nodiscard]] HttpReply Explain(const std::string& id) const;
 
   const InstanceSettings& m_settings;
   const FleetViewHolder& m_holder;
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -6,6 +6,7 @@
 #include "caller_codec.h"
 #include "core/event.h"
 #include "query_run.h"
+#include "request_recorder.h"
 #include "request_run.h"
 #include "share_borrower.h"
 
@@ -33,6 +34,7 @@
         m_holder(holder),
         m_router(router),
         m_metrics(metrics),
+        m_recorder(metrics),
         m_admission(m_settings.m_instance),
         m_borrower(std::make_shared<ShareBorrower>(context,
                                                    m_settings.m_instance,
@@ -67,6 +69,10 @@
     }
   }
 
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const {
+    return m_recorder.Explain(request);
+  }
+
  private:
   /// The contract, kind and collection that a request falls under.
   struct Terms {
@@ -115,12 +121,12 @@
     const Customer customer = query.assume_value().m_customer;
     const auto terms = FindTerms(customer, query.assume_value().m_kind, true);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(customer, terms.error(), reply);
       return;
     }
     const auto admitted = Admit(*terms.assume_value().m_contract);
     if (!admitted) {
-      Refuse(admitted.error(), reply);
+      RefuseCustomer(customer, admitted.error(), reply);
       return;
     }
     QueryRunSpec spec;
@@ -130,13 +136,17 @@
     spec.m_collection = terms.assume_value().m_collection;
     spec.m_domain = m_settings.m_domain;
     spec.m_started = SteadyClock().Now();
-    std::make_shared<QueryRun>(m_context, m_router, m_holder, std::move(spec),
-                               [self = shared_from_this(), customer,
-                                reply](const QueryAnswer& answer) {
-                                 self->m_admission.Release(customer);
-                                 self->CountQuery(customer, answer);
-                                 reply(EncodeQueryAnswer(answer));
-                               })
+    const auto trace =
+        m_recorder.Begin(spec.m_request, customer, spec.m_query.m_kind);
+    spec.m_trace = trace;
+    spec.m_direct_self = m_settings.m_direct_self;
+    std::make_shared<QueryRun>(
+        m_context, m_router, m_holder, std::move(spec),
+        [self = shared_from_this(), trace, reply](const QueryAnswer& answer) {
+          self->m_admission.Release(trace->Record().m_customer);
+          self->m_recorder.FinishQuery(*trace, answer);
+          reply(EncodeQueryAnswer(answer));
+        })
         ->Start();
   }
 
@@ -149,13 +159,13 @@
     const CallerRequest& caller = decoded.assume_value();
     const auto terms = FindTerms(caller.m_customer, caller.m_kind, false);
     if (!terms) {
-      Refuse(terms.error(), reply);
+      RefuseCustomer(caller.m_customer, terms.error(), reply);
       return;
     }
     const Terms& found = terms.assume_value();
     const auto admitted = Admit(*found.m_contract);
     if (!admitted) {
-      Refuse(admitted.error(), reply);
+      RefuseCustomer(caller.m_customer, admitted.error(), reply);
       return;
     }
     RunRequest run;
@@ -167,11 +177,13 @@
     run.m_shard_key = KeyOf(caller.m_key);
     run.m_body = caller.m_body;
     run.m_remaining_ms = found.m_contract->DeadlineMs();
+    const auto trace =
+        m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
     std::make_shared<RequestRun>(
-        m_context, m_router, m_holder, m_suspects, std::move(run),
-        [self = shared_from_this(), customer = caller.m_customer,
-         reply](const RunAnswer& answer) {
-          self->m_admission.Release(customer);
+        m_context, m_router, m_holder, m_suspects, std::move(run), trace,
+        [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
+          self->m_admission.Release(trace->Record().m_customer);
+          self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         })
         ->Start();
@@ -202,15 +214,12 @@
     reply(EncodeError(error));
   }
 
-  void CountQuery(const Customer& customer, const QueryAnswer& answer) {
-    const std::string label = fmt::format("customer=\"{}\"", customer.Text());
-    m_metrics.HistogramFor("jackdawrack_query_ms", label).Record(answer.m_took);
-    m_metrics.CounterFor("jackdawrack_queries", label).Add();
-    if (!answer.m_missing.empty()) {
-      m_metrics.CounterFor("jackdawrack_partial_queries", label).Add();
-      LogEvent(EventId::kAnswerPartial, "request={} coverage={:.4f}",
-               answer.m_request.ToText(), answer.m_coverage);
-    }
+  // Counts the refusal for the customer too.
+  void RefuseCustomer(const Customer& customer,
+                      const EntryError& error,
+                      const HttpServer::Reply& reply) {
+    m_recorder.Refuse(customer, error.m_code);
+    Refuse(error, reply);
   }
 
   RequestId NextRequest() {
@@ -222,6 +231,7 @@
   const FleetViewHolder& m_holder;
   PeerRouter& m_router;
   MetricsRegistry& m_metrics;
+  RequestRecorder m_recorder;
   const TimePoint m_created_at = SteadyClock().Now();
   AdmissionTable m_admission;
   std::shared_ptr<ShareBorrower> m_borrower;
@@ -246,6 +256,10 @@
   m_impl->Handle(request, std::move(reply));
 }
 
+std::optional<std::string> EntryService::Explain(RequestId request) const {
+  return m_impl->Explain(request);
+}
+
 void EntryService::Start() {
   m_impl->Start();
 }
--- a/packages/entry/src/request_run.cpp
+++ b/packages/entry/src/request_run.cpp
@@ -28,6 +28,7 @@
                        const FleetViewHolder& holder,
                        SuspectList& suspects,
                        RunRequest request,
+                       std::shared_ptr<RequestTrace> trace,
                        DoneHandler on_done)
     : m_router(router),
       m_holder(holder),
@@ -37,6 +38,7 @@
       m_retry_timer(m_strand),
       m_request(std::move(request)),
       m_deadline(SteadyClock().Now() + Milliseconds(m_request.m_remaining_ms)),
+      m_trace(std::move(trace)),
       m_on_done(std::move(on_done)),
       m_last(UnknownAnswer(m_request, "no_owner")) {}
 
@@ -66,6 +68,7 @@
   m_request.m_remaining_ms = RemainingMs(SteadyClock().Now(), m_deadline);
   m_asked = target->m_id;
   m_tried.push_back(target->m_id);
+  m_trace->Sent(target->m_id, 1, SteadyClock().Now());
   m_router.Send(
       *target, m_request,
       [self = shared_from_this(), id = target->m_id,
@@ -81,9 +84,12 @@
                           std::uint32_t attempt,
                           RunAnswer answer) {
   if (m_on_done == nullptr || attempt != m_request.m_call.m_attempt) {
+    m_trace->LateReply();
     return;
   }
   m_asked.reset();
+  m_trace->AnsweredRun(target, answer.m_outcome, answer.m_reason,
+                       SteadyClock().Now());
   const bool is_unreachable =
       answer.m_reason == "owner_unreachable" || answer.m_reason == "owner_lost";
   if (is_unreachable) {
--- a/packages/entry/src/request_run.h
+++ b/packages/entry/src/request_run.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "entry/request_trace.h"
 #include "peer/peer_router.h"
 #include "policy/fleet_view.h"
 #include "suspect_list.h"
@@ -30,6 +31,7 @@
              const FleetViewHolder& holder,
              SuspectList& suspects,
              RunRequest request,
+             std::shared_ptr<RequestTrace> trace,
              DoneHandler on_done);
 
   /// Sends the first call; called once.
@@ -56,6 +58,7 @@
   boost::asio::steady_timer m_retry_timer;
   RunRequest m_request;
   const TimePoint m_deadline;
+  const std::shared_ptr<RequestTrace> m_trace;
   DoneHandler m_on_done;
 
   // Progress
