--- a/packages/owner/src/run_request_service.cpp
+++ b/packages/owner/src/run_request_service.cpp
@@ -1,5 +1,7 @@
 #include "run_request_service.h"
 
+#include <algorithm>
+
 #include "core/check.h"
 #include "core/event.h"
 #include "core/hash.h"
@@ -12,6 +14,9 @@
 /// from the call that it answers.
 constexpr std::uint32_t kPassedOnAttempt = 1U << 16;
 
+/// Instances besides the owners of the block that are tried as senders.
+constexpr std::size_t kMaxOtherSenders = 4;
+
 RunAnswer MakeAnswer(const RunRequest& request,
                      Outcome outcome,
                      std::string reason,
@@ -160,38 +165,73 @@
   const TimePoint deadline = std::min(now + remaining, lease.m_end);
   request.m_not_after_ms = std::min(
       clock.WallNowMs() + RemainingMs(now, deadline), lease.m_wall_end);
-  Execution execution{std::move(request), std::move(key), deadline,
-                      std::move(sink)};
 
-  // Send it from here, or through an instance next to a replica
-  const RunRequest& run = execution.m_request;
-  if (const auto pool = ChooseUpstream(run)) {
-    SendHere(run, pool, deadline,
-             [self = shared_from_this(), execution](RunAnswer answer) {
-               self->Settle(execution, std::move(answer));
-             });
+  // List every way to a replica
+  auto execution = std::make_shared<Execution>();
+  for (const std::shared_ptr<UpstreamPool>& pool : LocalPools(request)) {
+    execution->m_ways.push_back(Way{pool, std::nullopt});
+  }
+  for (const Instance& sender : Senders(request)) {
+    execution->m_ways.push_back(Way{nullptr, sender});
+  }
+  execution->m_request = std::move(request);
+  execution->m_key = std::move(key);
+  execution->m_deadline = deadline;
+  execution->m_sink = std::move(sink);
+  SendNext(execution);
+}
+
+// Each way is taken only after a proof that the one before ran nothing.
+void RunRequestService::SendNext(const std::shared_ptr<Execution>& execution) {
+  if (execution->m_next_way == execution->m_ways.size()) {
+    Settle(*execution,
+           MakeAnswer(execution->m_request, Outcome::kNotRun, "no_replica"));
     return;
   }
-  const auto view = m_view_holder.Get();
-  const Instance* sender = ChooseSender(*view, run);
-  if (sender == nullptr) {
-    Settle(execution, MakeAnswer(run, Outcome::kNotRun, "no_replica"));
+  const Way& way = execution->m_ways[execution->m_next_way];
+  ++execution->m_next_way;
+  if (way.m_pool == nullptr) {
+    SendThrough(*way.m_sender, execution);
     return;
   }
-  RunRequest passed_on = run;
-  passed_on.m_call.m_attempt += kPassedOnAttempt;
-  m_router->Send(*sender, std::move(passed_on),
+  SendHere(execution->m_request, way.m_pool, execution->m_deadline,
+           [self = shared_from_this(), execution](RunAnswer answer) {
+             self->OnSent(execution, std::move(answer));
+           });
+}
+
+void RunRequestService::SendThrough(
+    const Instance& sender,
+    const std::shared_ptr<Execution>& execution) {
+  RunRequest passed_on = execution->m_request;
+  passed_on.m_call.m_attempt +=
+      kPassedOnAttempt * static_cast<std::uint32_t>(execution->m_next_way);
+  passed_on.m_remaining_ms =
+      RemainingMs(SteadyClock().Now(), execution->m_deadline);
+  m_router->Send(sender, std::move(passed_on),
                  [self = shared_from_this(), execution](RunAnswer answer) {
-                   // This was the only call for the key; unsent means not run
+                   // A call that was not sent has run nothing
                    if (answer.m_is_retryable) {
                      answer.m_outcome = Outcome::kNotRun;
                      answer.m_is_retryable = false;
                    }
-                   answer.m_call = execution.m_request.m_call;
-                   self->Settle(execution, std::move(answer));
+                   answer.m_call = execution->m_request.m_call;
+                   self->OnSent(execution, std::move(answer));
                  });
 }
 
+void RunRequestService::OnSent(const std::shared_ptr<Execution>& execution,
+                               RunAnswer answer) {
+  const bool may_go_on = answer.m_outcome == Outcome::kNotRun &&
+                         execution->m_next_way < execution->m_ways.size() &&
+                         SteadyClock().Now() < execution->m_deadline;
+  if (may_go_on) {
+    SendNext(execution);
+  } else {
+    Settle(*execution, std::move(answer));
+  }
+}
+
 void RunRequestService::Settle(const Execution& execution, RunAnswer answer) {
   m_leases->Settle(execution.m_key, answer.m_outcome, answer.m_result);
   if (answer.m_outcome == Outcome::kUnknown) {
@@ -224,48 +264,54 @@
                                       const PeerService::RunAnswerSink& sink) {
   const SteadyClock clock;
   const UnixMs remaining = request.m_not_after_ms - clock.WallNowMs();
-  const std::shared_ptr<UpstreamPool> pool = ChooseUpstream(request);
-  if (remaining <= 0 || pool == nullptr) {
-    sink(MakeAnswer(request, Outcome::kNotRun,
-                    pool == nullptr ? "no_replica" : "too_late"));
+  if (remaining <= 0) {
+    sink(MakeAnswer(request, Outcome::kNotRun, "too_late"));
+    return;
+  }
+  const auto pools = LocalPools(request);
+  if (pools.empty()) {
+    sink(MakeAnswer(request, Outcome::kNotRun, "no_replica"));
     return;
   }
   const Milliseconds bound(std::min<UnixMs>(remaining, request.m_remaining_ms));
-  SendHere(request, pool, clock.Now() + bound, sink);
+  SendHere(request, pools.front(), clock.Now() + bound, sink);
 }
 
-std::shared_ptr<UpstreamPool> RunRequestService::ChooseUpstream(
+std::vector<std::shared_ptr<UpstreamPool>> RunRequestService::LocalPools(
     const RunRequest& request) {
+  std::vector<std::shared_ptr<UpstreamPool>> pools;
   const auto view = m_view_holder.Get();
   const auto collection = view->State().FindCollection(request.m_collection);
   if (collection == nullptr) {
-    return nullptr;
+    return pools;
   }
-  const Shard& shard =
-      collection->Shards()[collection->ShardAt(request.m_shard_key)];
-  for (const std::uint32_t position : shard.m_replicas) {
-    const Upstream& replica = collection->Upstreams()[position];
-    if (replica.m_domain != m_domain ||
-        replica.m_state != UpstreamState::kLive) {
+  const std::size_t position = collection->ShardAt(request.m_shard_key);
+  for (const std::uint32_t replica :
+       collection->Shards()[position].m_replicas) {
+    const Upstream& upstream = collection->Upstreams()[replica];
+    if (upstream.m_domain != m_domain ||
+        upstream.m_state != UpstreamState::kLive) {
       continue;
     }
-    std::shared_ptr<UpstreamPool> pool = m_table.PoolFor(replica);
+    std::shared_ptr<UpstreamPool> pool = m_table.PoolFor(upstream);
     if (!pool->Load().m_is_draining) {
-      return pool;
+      pools.push_back(std::move(pool));
     }
   }
-  return nullptr;
+  return pools;
 }
 
-// The owner of the shard's block in the domain of a replica.
-const Instance* RunRequestService::ChooseSender(
-    const FleetView& view,
+std::vector<Instance> RunRequestService::Senders(
     const RunRequest& request) const {
-  const auto collection = view.State().FindCollection(request.m_collection);
+  std::vector<Instance> owners;
+  std::vector<Instance> others;
+  const auto view = m_view_holder.Get();
+  const auto collection = view->State().FindCollection(request.m_collection);
   if (collection == nullptr) {
-    return nullptr;
+    return owners;
   }
   const std::size_t position = collection->ShardAt(request.m_shard_key);
+  const std::size_t block = collection->BlockOfShard(position);
   for (const std::uint32_t replica :
        collection->Shards()[position].m_replicas) {
     const Upstream& upstream = collection->Upstreams()[replica];
@@ -273,14 +319,16 @@
         upstream.m_state != UpstreamState::kLive) {
       continue;
     }
-    const Instance* owner = view.Owners().OwnerOf(
-        collection->Name(), collection->BlockOfShard(position),
-        upstream.m_domain);
-    if (owner != nullptr) {
-      return owner;
+    const Instance* owner =
+        view->Owners().OwnerOf(collection->Name(), block, upstream.m_domain);
+    for (const Instance& instance :
+         view->Owners().LiveInstances(upstream.m_domain)) {
+      (&instance == owner ? owners : others).push_back(instance);
     }
   }
-  return nullptr;
+  owners.insert(owners.end(), others.begin(),
+                others.begin() + std::min(others.size(), kMaxOtherSenders));
+  return owners;
 }
 
 }  // namespace jackdawrack
--- a/packages/owner/src/run_request_service.h
+++ b/packages/owner/src/run_request_service.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "lease_keeper.h"
 #include "peer/peer_router.h"
@@ -31,12 +33,21 @@
   [[nodiscard]] std::size_t RunningCount() const { return m_running; }
 
  private:
+  /// One way to send a request: to an upstream of this domain, or through an
+  /// instance next to a replica in another one.
+  struct Way {
+    std::shared_ptr<UpstreamPool> m_pool;
+    std::optional<Instance> m_sender;
+  };
+
   /// A key that was admitted, until it is settled.
   struct Execution {
     RunRequest m_request;
     RunKey m_key;
     TimePoint m_deadline{};
     PeerService::RunAnswerSink m_sink;
+    std::vector<Way> m_ways;
+    std::size_t m_next_way = 0;
   };
 
   void RunAsHolder(RunRequest request, PeerService::RunAnswerSink sink);
@@ -44,6 +55,10 @@
                RunKey key,
                const HeldLease& lease,
                PeerService::RunAnswerSink sink);
+  void SendNext(const std::shared_ptr<Execution>& execution);
+  void SendThrough(const Instance& sender,
+                   const std::shared_ptr<Execution>& execution);
+  void OnSent(const std::shared_ptr<Execution>& execution, RunAnswer answer);
   void Settle(const Execution& execution, RunAnswer answer);
   [[nodiscard]] RunAnswer AnswerFromTable(const RunRequest& request,
                                           const RunKey& key) const;
@@ -55,10 +70,11 @@
                 PeerService::RunAnswerSink sink);
   void SendForHolder(const RunRequest& request,
                      const PeerService::RunAnswerSink& sink);
-  [[nodiscard]] std::shared_ptr<UpstreamPool> ChooseUpstream(
+  // Replicas of this domain that are not leaving
+  [[nodiscard]] std::vector<std::shared_ptr<UpstreamPool>> LocalPools(
       const RunRequest& request);
-  [[nodiscard]] const Instance* ChooseSender(const FleetView& view,
-                                             const RunRequest& request) const;
+  // Instances of other domains with a replica: owners of the block first
+  [[nodiscard]] std::vector<Instance> Senders(const RunRequest& request) const;
 
   const FailureDomain m_domain;
   const FleetViewHolder& m_view_holder;
