--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -171,7 +171,11 @@
              m_callers.RunningRequests());
 
     // Answer peers until they have moved off
-    WaitUntil(kMaxPeerDrain, [this] { return m_owner.RunningCount() == 0; });
+    m_peer_server.SayGoodbye();
+    WaitUntil(kMaxPeerDrain, [this] {
+      return m_owner.RunningCount() == 0 &&
+             m_peer_server.OpenConnections() == 0;
+    });
     LogEvent(EventId::kProcessStopped, "running={} peer_calls={}",
              m_callers.RunningRequests(), m_owner.RunningCount());
   }
--- a/packages/entry/src/request_run.cpp
+++ b/packages/entry/src/request_run.cpp
@@ -84,9 +84,10 @@
     return;
   }
   m_asked.reset();
-  const bool is_unreachable =
-      answer.m_reason == "owner_unreachable" || answer.m_reason == "owner_lost";
-  if (is_unreachable) {
+  const bool is_unfit = answer.m_reason == "owner_unreachable" ||
+                        answer.m_reason == "owner_lost" ||
+                        answer.m_reason == "owner_starting";
+  if (is_unfit) {
     m_suspects.Add(target, SteadyClock().Now());
   } else {
     m_suspects.Remove(target);
@@ -97,11 +98,11 @@
   }
 
   // Follow the holder that was named; else go on to the next instance only
-  // when this one cannot be reached
+  // when this one cannot be reached or was just started
   m_last = std::move(answer);
   m_hint = m_last.m_holder;
   const bool has_new_hint = !m_hint.IsEmpty() && !WasTried(m_hint);
-  if (has_new_hint || is_unreachable) {
+  if (has_new_hint || is_unfit) {
     SendNext();
   } else {
     RetryLater();
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -102,9 +104,10 @@
   }
 
   asio::awaitable<NetResult<void>> EnsureOpen(Milliseconds timeout) {
-    if (m_open) {
+    if (m_open && !IsStale()) {
       co_return boost::outcome_v2::success();
     }
+    CloseNow();
     beast::error_code bad_address;
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(m_settings.m_endpoint.m_address, bad_address),
@@ -165,6 +168,15 @@
     co_return FromWire(parser.get());
   }
 
+  // True when the other side has closed the idle connection, or has sent what
+  // nobody asked for.
+  [[nodiscard]] bool IsStale() {
+    char byte = 0;
+    const auto peeked = recv(m_stream.socket().native_handle(), &byte,
+                             sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   void CloseNow() {
     m_open = false;
     beast::error_code ignored;
--- a/packages/owner/src/lease_keeper.cpp
+++ b/packages/owner/src/lease_keeper.cpp
@@ -21,6 +21,13 @@
 /// is preferred for.
 constexpr Milliseconds kDemandWindow{10'000};
 
+/// Time after the last request in which a slot is asked for that another
+/// instance is preferred for.
+constexpr Milliseconds kAskWindow{400};
+
+/// Of so many rounds with split votes, the more preferred asker yields in one.
+constexpr std::uint64_t kYieldOneIn = 8;
+
 /// Longest time that a hand-over waits for running requests; those that run
 /// longer are handed over as unknown.
 constexpr Milliseconds kMoveWait{1000};
@@ -88,6 +95,7 @@
   admission.m_lease = m_leases.Held(key.m_slot, now, wall_now);
   admission.m_verdict =
       m_guard.Admit(key, body_digest, admission.m_lease, now, wall_now);
+  admission.m_is_starting = !m_witness.IsActive(now);
   const auto holder = m_holder_of.find(key.m_slot);
   if (!admission.m_lease && holder != m_holder_of.end()) {
     admission.m_holder = holder->second;
@@ -155,7 +163,7 @@
       return reply;
     }
     m_leases.RaiseFloor(slot.m_slot, slot.m_floor);
-    m_demanded[slot.m_slot] = now;
+    m_taken[slot.m_slot] = now;
     m_asked.erase(slot.m_slot);
     m_guard.Import(std::move(slot), now);
   }
@@ -224,14 +232,16 @@
         m_leases.Held(slot, now, clock.WallNowMs()).has_value();
     const Milliseconds interval =
         is_held ? m_terms.m_renew_interval : kAskInterval;
-    if (m_asked[slot] + interval > now || !IsWanted(slot, now) ||
+    if (m_asked[slot] + interval > now || !IsWanted(slot, is_held, now) ||
         (m_is_leaving && !is_held)) {
       continue;
     }
     m_asked[slot] = now;
 
     // Let another asker win if the votes were split
-    if (!is_held && m_leases.GrantsOf(slot) > 0 && RandomBelow(2) == 0) {
+    const bool yields = !is_held && ShouldYield(slot, now);
+    m_rivals.erase(slot);
+    if (yields) {
       m_leases.Drop(slot);
       released.push_back(slot);
       continue;
@@ -241,12 +251,39 @@
   return slots;
 }
 
-bool LeaseKeeper::IsWanted(KeySlot slot, TimePoint now) const {
+bool LeaseKeeper::IsWanted(KeySlot slot, bool is_held, TimePoint now) const {
+  if (WasTakenLately(slot, now)) {
+    return true;
+  }
   if (!m_order[slot].empty() && m_order[slot].front() == m_self.m_instance) {
     return true;
   }
   const auto demanded = m_demanded.find(slot);
-  return demanded != m_demanded.end() && demanded->second + kDemandWindow > now;
+  const Milliseconds window = is_held ? kDemandWindow : kAskWindow;
+  return demanded != m_demanded.end() && demanded->second + window > now;
+}
+
+bool LeaseKeeper::WasTakenLately(KeySlot slot, TimePoint now) const {
+  const auto taken = m_taken.find(slot);
+  return taken != m_taken.end() && taken->second + kDemandWindow > now;
+}
+
+// Others have the promises without which no quorum is left. The one with fewer
+// votes gives its own back; views of who is preferred may differ, so that
+// sometimes the other one does as well.
+bool LeaseKeeper::ShouldYield(KeySlot slot, TimePoint now) const {
+  const auto rival = m_rivals.find(slot);
+  const std::size_t grants = m_leases.GrantsOf(slot);
+  if (rival == m_rivals.end() || grants == 0 || WasTakenLately(slot, now)) {
+    return false;
+  }
+  const std::size_t count = m_leases.WitnessesToAsk(slot, now).size();
+  if (rival->second.m_denials + WitnessQuorum(count) <= count) {
+    return false;
+  }
+  return rival->second.m_denials >= grants ||
+         IsBefore(rival->second.m_holder, m_self.m_instance, slot) ||
+         RandomBelow(kYieldOneIn) == 0;
 }
 
 bool LeaseKeeper::IsBefore(const InstanceId& a,
@@ -313,6 +350,9 @@
       continue;
     }
     m_holder_of[denial.m_slot] = denial.m_holder;
+    Rival& rival = m_rivals[denial.m_slot];
+    rival.m_holder = denial.m_holder;
+    ++rival.m_denials;
 
     // Ask the holder for what this instance is preferred for
     if (IsBefore(m_self.m_instance, denial.m_holder, denial.m_slot)) {
@@ -416,7 +456,10 @@
          [weak = weak_from_this(), target = target,
           slots](const std::optional<LeaseReplyBody>& reply) {
            if (const auto self = weak.lock()) {
-             self->OnMoved(target, slots, reply);
+             // Asks leave one strand in order of their numbers
+             boost::asio::post(self->m_strand, [self, target, slots, reply] {
+               self->OnMoved(target, slots, reply);
+             });
            }
          });
   }
@@ -441,6 +484,7 @@
       for (const KeySlot slot : slots) {
         m_leases.Drop(slot);
         m_demanded.erase(slot);
+        m_taken.erase(slot);
         m_holder_of[slot] = target;
         for (const InstanceId& witness : m_leases.WitnessesToAsk(slot, now)) {
           asks[witness].m_transferred.push_back(slot);
--- a/packages/owner/src/lease_keeper.h
+++ b/packages/owner/src/lease_keeper.h
@@ -20,6 +20,8 @@
 struct RunAdmission {
   RunVerdict m_verdict = RunVerdict::kNoLease;
   std::optional<HeldLease> m_lease;
+  /// True while this process was just started and may ask for no lease.
+  bool m_is_starting = false;
   /// The instance believed to hold the lease, if this one does not.
   InstanceId m_holder;
 };
@@ -67,6 +69,12 @@
   using Asks = std::map<InstanceId, LeaseAsk>;
   using SlotsByInstance = std::map<InstanceId, std::vector<KeySlot>>;
 
+  /// Who had witnesses' promises in the present round, and how many.
+  struct Rival {
+    InstanceId m_holder;
+    std::size_t m_denials = 0;
+  };
+
   /// Slots on their way to another instance.
   struct Move {
     std::vector<KeySlot> m_slots;
@@ -84,7 +92,9 @@
   void Tick();
   void UpdateView();
   std::vector<KeySlot> SlotsToAsk(std::vector<KeySlot>& released);
-  [[nodiscard]] bool IsWanted(KeySlot slot, TimePoint now) const;
+  [[nodiscard]] bool IsWanted(KeySlot slot, bool is_held, TimePoint now) const;
+  [[nodiscard]] bool WasTakenLately(KeySlot slot, TimePoint now) const;
+  [[nodiscard]] bool ShouldYield(KeySlot slot, TimePoint now) const;
   [[nodiscard]] bool IsBefore(const InstanceId& a,
                               const InstanceId& b,
                               KeySlot slot) const;
@@ -128,6 +138,9 @@
   bool m_is_leaving = false;
   std::map<KeySlot, TimePoint> m_demanded;
   std::map<KeySlot, TimePoint> m_asked;
+  /// When a slot was taken over.
+  std::map<KeySlot, TimePoint> m_taken;
+  std::map<KeySlot, Rival> m_rivals;
   std::map<KeySlot, InstanceId> m_holder_of;
   SlotsByInstance m_claims;
   TimePoint m_next_claims{};
--- a/packages/owner/src/run_request_service.cpp
+++ b/packages/owner/src/run_request_service.cpp
@@ -89,7 +89,9 @@
     case RunVerdict::kNoLease:
       break;
   }
-  RunAnswer answer = MakeAnswer(request, Outcome::kUnknown, "no_lease");
+  RunAnswer answer =
+      MakeAnswer(request, Outcome::kUnknown,
+                 admission.m_is_starting ? "owner_starting" : "no_lease");
   answer.m_is_retryable = true;
   answer.m_holder = admission.m_holder;
   return answer;
--- a/packages/peer/include/peer/messages.h
+++ b/packages/peer/include/peer/messages.h
@@ -202,6 +202,18 @@
   friend bool operator==(const LeaseReply&, const LeaseReply&) = default;
 };
 
+/// Sent by the accepting side that stops: it answers what it has been asked,
+/// and should be asked nothing more.
+struct Goodbye {
+  std::uint64_t m_epoch = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_epoch);
+  }
+  friend bool operator==(const Goodbye&, const Goodbye&) = default;
+};
+
 /// Any frame between instances.
 using PeerFrame = std::variant<Hello,
                                Heartbeat,
@@ -213,6 +225,7 @@
                                ControlCall,
                                ControlReply,
                                LeaseCall,
-                               LeaseReply>;
+                               LeaseReply,
+                               Goodbye>;
 
 }  // namespace jackdawrack
--- a/packages/peer/include/peer/peer_server.h
+++ b/packages/peer/include/peer/peer_server.h
@@ -25,6 +25,13 @@
   /// Binds and starts to accept.
   NetResult<void> Start();
 
+  /// Tells every peer to ask nothing more; what was asked is answered, and the
+  /// peers close their connections.
+  void SayGoodbye();
+
+  /// Open connections of peers.
+  [[nodiscard]] std::size_t OpenConnections() const;
+
   /// Closes the listener and every connection.
   void Stop();
 
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kMissedHeartbeatsAllowed = 4;
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kReconnectDelay{200};
+/// Time for which a peer that said goodbye is not connected to.
+constexpr Milliseconds kGoodbyeDelay{1000};
 constexpr std::size_t kMaxWaitingCalls = 20'000;
 
 SubAnswer FailedAnswer(const SubQuery& query, MissReason reason) {
@@ -72,6 +74,7 @@
       if (self->m_ready) {
         self->m_connection->Send(jackdawrack::Cancel{call});
       }
+      self->CloseIfDone();
     });
   }
 
@@ -262,7 +265,9 @@
     m_connection = nullptr;
     m_ready = false;
     m_timer.cancel();
-    m_no_connect_before = SteadyClock().Now() + kReconnectDelay;
+    const Milliseconds delay = m_is_leaving ? kGoodbyeDelay : kReconnectDelay;
+    m_no_connect_before = SteadyClock().Now() + delay;
+    m_is_leaving = false;
     LogEvent(EventId::kPeerLost, "peer={} calls={}", m_target.m_id.Text(),
              m_queries.size() + m_runs.size());
     FailAll();
@@ -332,6 +337,7 @@
       m_queries.erase(found);
     }
     sink(std::move(answer));
+    CloseIfDone();
   }
 
   void On(RunAnswer answer) {
@@ -344,6 +350,7 @@
     const PeerService::RunAnswerSink sink = std::move(found->second.m_sink);
     m_runs.erase(found);
     sink(std::move(answer));
+    CloseIfDone();
   }
 
   void On(ControlReply reply) {
@@ -354,6 +361,7 @@
     const ControlSink sink = std::move(found->second);
     m_controls.erase(found);
     sink(std::move(reply.m_text));
+    CloseIfDone();
   }
 
   void On(LeaseReply reply) {
@@ -364,6 +372,22 @@
     const PeerService::LeaseSink sink = std::move(found->second);
     m_lease_calls.erase(found);
     sink(std::move(reply.m_body));
+    CloseIfDone();
+  }
+
+  // Asks nothing more, and closes once everything is answered.
+  void On(const Goodbye&) {
+    m_is_leaving = true;
+    m_no_connect_before = SteadyClock().Now() + kGoodbyeDelay;
+    CloseIfDone();
+  }
+
+  void CloseIfDone() {
+    const bool is_done = m_queries.empty() && m_runs.empty() &&
+                         m_controls.empty() && m_lease_calls.empty();
+    if (m_is_leaving && is_done) {
+      Drop();
+    }
   }
 
   // Calls do not arrive on a dialled connection.
@@ -385,6 +409,7 @@
   bool m_ready = false;
   bool m_closed = false;
   TimePoint m_no_connect_before{};
+  bool m_is_leaving = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -33,6 +33,12 @@
     m_connection->Send(m_self);
   }
 
+  void SayGoodbye() {
+    asio::post(m_executor, [self = shared_from_this()] {
+      self->m_connection->Send(Goodbye{self->m_self.m_epoch});
+    });
+  }
+
   void Close() {
     asio::post(m_executor,
                [self = shared_from_this()] { self->m_connection->Close(); });
@@ -79,6 +85,7 @@
   void On(const RunAnswer&) { m_connection->Close(); }
   void On(const ControlReply&) { m_connection->Close(); }
   void On(const LeaseReply&) { m_connection->Close(); }
+  void On(const Goodbye&) { m_connection->Close(); }
 
   template <typename Message>
   std::function<void(Message)> MakeSink() {
@@ -135,6 +142,19 @@
     return boost::outcome_v2::success();
   }
 
+  void SayGoodbye() {
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+      self->m_is_leaving = true;
+      for (const auto& session : self->m_sessions) {
+        session->SayGoodbye();
+      }
+    });
+  }
+
+  [[nodiscard]] std::size_t OpenConnections() const {
+    return m_open_connections;
+  }
+
   void Stop() {
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -165,12 +185,21 @@
     auto session =
         std::make_shared<PeerSession>(std::move(socket), m_self, m_service);
     m_sessions.insert(session);
+    m_open_connections = m_sessions.size();
     asio::post(executor, [self = shared_from_this(), session] {
       session->Start([self, session] {
         asio::post(self->m_acceptor.get_executor(),
-                   [self, session] { self->m_sessions.erase(session); });
+                   [self, session] { self->Forget(session); });
       });
     });
+    if (m_is_leaving) {
+      session->SayGoodbye();
+    }
+  }
+
+  void Forget(const std::shared_ptr<PeerSession>& session) {
+    m_sessions.erase(session);
+    m_open_connections = m_sessions.size();
   }
 
   asio::io_context& m_context;
@@ -179,6 +208,8 @@
   const PeerService m_service;
   asio::ip::tcp::acceptor m_acceptor;
   std::set<std::shared_ptr<PeerSession>> m_sessions;
+  bool m_is_leaving = false;
+  std::atomic<std::size_t> m_open_connections{0};
 };
 
 PeerServer::PeerServer(asio::io_context& context,
@@ -198,6 +229,14 @@
   return m_impl->Start();
 }
 
+void PeerServer::SayGoodbye() {
+  m_impl->SayGoodbye();
+}
+
+std::size_t PeerServer::OpenConnections() const {
+  return m_impl->OpenConnections();
+}
+
 void PeerServer::Stop() {
   m_impl->Stop();
 }
--- a/packages/policy/src/lease_holder.cpp
+++ b/packages/policy/src/lease_holder.cpp
@@ -115,9 +115,9 @@
     floor = std::max(*floor, *before);
   }
 
-  // A lease that was held without a break keeps its floor
-  if (const auto held = Held(slot, now, wall_now)) {
-    floor = held->m_floor;
+  // The floor of a lease that holds is true as well; the earlier one counts
+  if (Held(slot, now, wall_now)) {
+    floor = std::min(*floor, state.m_lease->m_floor);
   }
   const UnixMs wall_end = state.m_round_wall_start + m_terms.m_term.count();
   state.m_lease =
