--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -8,8 +8,9 @@
 #include "core/random.h"
 #include "core/worker_pool.h"
 #include "entry/entry_service.h"
-#include "fleet/config_sync.h"
+#include "fleet/control_service.h"
 #include "net/http_server.h"
+#include "net/outbound_address.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
 #include "peer/peer_router.h"
@@ -44,8 +45,13 @@
 EntrySettings MakeEntrySettings(const InstanceSettings& settings,
                                 std::uint64_t epoch) {
   EntrySettings entry;
+  entry.m_instance = settings.m_id;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  if (settings.m_direct_baseline) {
+    entry.m_direct_self = Instance{settings.m_id, settings.m_domain,
+                                   settings.m_peers, InstanceState::kLive};
+  }
   return entry;
 }
 
@@ -65,13 +71,17 @@
       : m_settings(std::move(settings)),
         m_hello(MakeHello(m_settings)),
         m_workers(m_settings.m_worker_threads),
-        m_config(m_workers.Context(), m_settings, m_holder),
         m_owner(m_workers.Context(),
                 LeaseHolderId{m_settings.m_id, m_hello.m_epoch},
                 m_settings.m_domain,
                 m_holder,
                 m_metrics),
         m_router(m_workers.Context(), m_hello, MakeService()),
+        m_control(m_workers.Context(),
+                  m_settings,
+                  m_router,
+                  m_holder,
+                  m_metrics),
         m_entry(m_workers.Context(),
                 MakeEntrySettings(m_settings, m_hello.m_epoch),
                 m_holder,
@@ -89,7 +99,8 @@
         m_operator_api(m_settings,
                        m_holder,
                        m_metrics,
-                       m_config,
+                       m_control,
+                       m_entry,
                        m_owner,
                        m_stopping),
         m_operators(
@@ -102,18 +113,24 @@
   ~Impl() { m_workers.Stop(); }
 
   NetResult<void> Start() {
+    SetOutboundAddress(m_workers.Context(), m_settings.m_outbound_address);
     for (auto start :
          {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
       if (!start) {
         return start;
       }
     }
-    m_config.Start();
+    m_control.Start();
+    m_entry.Start();
     m_owner.Start(m_router);
     m_workers.Start();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
              m_settings.m_callers.ToText());
+    if (m_settings.m_direct_baseline) {
+      LogEvent(EventId::kDirectBaseline, "domain={}",
+               m_settings.m_domain.Text());
+    }
     return boost::outcome_v2::success();
   }
 
@@ -137,13 +154,19 @@
                                       PeerService::RunAnswerSink sink) {
       m_owner.OnRunRequest(std::move(request), std::move(sink));
     };
+    service.m_on_control = [this](Hello caller, std::string request,
+                                  PeerService::ControlSink sink) {
+      m_control.OnControl(std::move(caller), std::move(request),
+                          std::move(sink));
+    };
+    service.m_on_share_ask = [this](const Hello& caller,
+                                    const std::vector<ShareWish>& wishes,
+                                    const PeerService::ShareSink& sink) {
+      sink(m_entry.Lend(caller.m_instance, wishes));
+    };
     service.m_on_lease_call = [this](LeaseCallBody body) {
       return m_owner.OnLeaseCall(std::move(body));
     };
-    service.m_on_control = [](const Hello&, const std::string&,
-                              const PeerService::ControlSink& sink) {
-      sink({});
-    };
     return service;
   }
 
@@ -154,6 +177,7 @@
     // Fail readiness, hand leases over, and go on serving until the balancer
     // has noticed
     m_stopping = true;
+    m_control.AnnounceLeaving();
     m_owner.Leave();
     m_callers.EndKeepAlive();
     std::this_thread::sleep_for(Milliseconds(m_settings.m_balancer_lag_ms));
@@ -195,9 +219,9 @@
   MetricsRegistry m_metrics;
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
-  ConfigSync m_config;
   OwnerService m_owner;
   PeerRouter m_router;
+  ControlService m_control;
   EntryService m_entry;
   PeerServer m_peer_server;
   HttpServer m_callers;
--- a/packages/entry/include/entry/entry_service.h
+++ b/packages/entry/include/entry/entry_service.h
@@ -2,9 +2,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "core/metrics.h"
 #include "entry/entry_settings.h"
+#include "model/request_id.h"
 #include "net/http_server.h"
 #include "peer/peer_router.h"
 #include "policy/fleet_view.h"
@@ -28,6 +31,21 @@
   /// Serves `POST /v1/query` and `POST /v1/request`.
   void Handle(const HttpRequest& request, HttpServer::Reply reply);
 
+  /// What was done for a finished request, as JSON; nothing once it is
+  /// forgotten, or if this instance never took it.
+  [[nodiscard]] std::optional<std::string> Explain(RequestId request) const;
+
+  /// Starts to borrow parts of contracts from peers.
+  void Start();
+
+  /// True when requests can be admitted here, or when it has been waited for
+  /// long enough that peers confirm this instance.
+  [[nodiscard]] bool IsReady() const;
+
+  /// Lends parts of contracts to a peer.
+  [[nodiscard]] ShareGrants Lend(const InstanceId& borrower,
+                                 const std::vector<ShareWish>& wishes);
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/peer/include/peer/messages.h
+++ b/packages/peer/include/peer/messages.h
@@ -9,6 +9,7 @@
 #include "model/key_range.h"
 #include "model/outcome.h"
 #include "peer/call_id.h"
+#include "peer/share_message.h"
 #include "policy/lease_messages.h"
 
 namespace jackdawrack {
@@ -172,6 +173,30 @@
   friend bool operator==(const ControlReply&, const ControlReply&) = default;
 };
 
+/// Asks a peer for parts of contracts.
+struct ShareAsk {
+  std::uint64_t m_number = 0;
+  std::vector<ShareWish> m_wishes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_wishes);
+  }
+  friend bool operator==(const ShareAsk&, const ShareAsk&) = default;
+};
+
+/// The answer to the share ask of the same number.
+struct ShareReply {
+  std::uint64_t m_number = 0;
+  ShareGrants m_grants;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_number, m_grants);
+  }
+  friend bool operator==(const ShareReply&, const ShareReply&) = default;
+};
+
 /// What instances ask each other about leases.
 using LeaseCallBody = std::variant<LeaseAsk, LeaseClaim, LeaseHandOver>;
 
@@ -224,6 +249,8 @@
                                RunAnswer,
                                ControlCall,
                                ControlReply,
+                               ShareAsk,
+                               ShareReply,
                                LeaseCall,
                                LeaseReply,
                                Goodbye>;
--- a/packages/peer/include/peer/peer_service.h
+++ b/packages/peer/include/peer/peer_service.h
@@ -13,6 +13,7 @@
   using SubAnswerSink = std::function<void(SubAnswer)>;
   using RunAnswerSink = std::function<void(RunAnswer)>;
   using ControlSink = std::function<void(std::string)>;
+  using ShareSink = std::function<void(ShareGrants)>;
   /// Gets nothing when no reply came.
   using LeaseSink = std::function<void(std::optional<LeaseReplyBody>)>;
 
@@ -22,6 +23,8 @@
   std::function<void(RunRequest, RunAnswerSink)> m_on_run_request;
   /// Answers a JSON-RPC text; the first argument is the caller.
   std::function<void(Hello, std::string, ControlSink)> m_on_control;
+  /// Lends parts of contracts to the caller.
+  std::function<void(Hello, std::vector<ShareWish>, ShareSink)> m_on_share_ask;
   /// Answers a call about leases at once.
   std::function<LeaseReplyBody(LeaseCallBody)> m_on_lease_call;
 };
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -3,10 +3,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <utility>
 
 #include "core/check.h"
 #include "core/clock.h"
 #include "core/event.h"
+#include "net/outbound_address.h"
 #include "peer/peer_connection.h"
 
 namespace jackdawrack {
@@ -16,6 +18,15 @@
 
 constexpr Milliseconds kHeartbeatInterval{300};
 constexpr std::uint64_t kMissedHeartbeatsAllowed = 4;
+
+/// Time after the last request of a caller in which a connection is watched by
+/// heartbeats although no call waits.
+constexpr Milliseconds kHeartbeatLinger{10'000};
+
+/// A connection without any call for this long is closed, so that control calls
+/// to ever other peers leave none behind.
+constexpr Milliseconds kIdleClose{5000};
+
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kReconnectDelay{200};
 /// Time for which a peer that said goodbye is not connected to.
@@ -85,6 +96,13 @@
     });
   }
 
+  void Ask(std::vector<ShareWish> wishes, PeerService::ShareSink sink) {
+    asio::post(m_strand, [self = shared_from_this(), wishes = std::move(wishes),
+                          sink = std::move(sink)]() mutable {
+      self->SendShareAsk(std::move(wishes), std::move(sink));
+    });
+  }
+
   void Call(LeaseCallBody body, PeerService::LeaseSink sink) {
     asio::post(m_strand, [self = shared_from_this(), body = std::move(body),
                           sink = std::move(sink)]() mutable {
@@ -114,6 +132,7 @@
   };
 
   void SendSubQuery(SubQuery query, PeerService::SubAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall() || m_queries.size() >= kMaxWaitingCalls) {
       sink(FailedAnswer(query, MissReason::kUnreachable));
       return;
@@ -128,6 +147,7 @@
   }
 
   void SendRunRequest(RunRequest request, PeerService::RunAnswerSink sink) {
+    m_last_request_at = SteadyClock().Now();
     if (!PrepareCall()) {
       sink(FailedAnswer(request, false));
       return;
@@ -161,6 +181,21 @@
     }
   }
 
+  // Drops the ask while the peer is unreachable; asks are repeated often.
+  void SendShareAsk(std::vector<ShareWish> wishes,
+                    PeerService::ShareSink sink) {
+    if (!PrepareCall()) {
+      return;
+    }
+    ShareAsk ask{++m_last_share_ask, std::move(wishes)};
+    m_share_asks.emplace(ask.m_number, std::move(sink));
+    if (m_ready) {
+      m_connection->Send(ask);
+    } else {
+      m_unsent_share_asks.push_back(std::move(ask));
+    }
+  }
+
   void SendLeaseCall(LeaseCallBody body, PeerService::LeaseSink sink) {
     if (!PrepareCall() || m_lease_calls.size() >= kMaxWaitingCalls) {
       sink(std::nullopt);
@@ -177,7 +212,8 @@
 
   // Starts to connect if need be; false while the peer is known unreachable.
   bool PrepareCall() {
-    if (m_closed || SteadyClock().Now() < m_no_connect_before) {
+    m_last_call_at = SteadyClock().Now();
+    if (m_closed || m_last_call_at < m_no_connect_before) {
       return false;
     }
     if (m_connection == nullptr && !m_connecting) {
@@ -193,6 +229,7 @@
         m_target.m_peer_endpoint.m_port);
     m_connecting = true;
     auto socket = std::make_shared<asio::ip::tcp::socket>(m_strand);
+    BindOutboundAddress(*socket, error);
     socket->async_connect(
         endpoint, [self = shared_from_this(), socket](auto connect_error) {
           self->m_connect_timer.cancel();
@@ -243,6 +280,18 @@
     if (m_connection == nullptr) {
       return;
     }
+    // Close what nobody needs, and spare heartbeats where no call waits
+    const TimePoint now = SteadyClock().Now();
+    const bool is_in_use = now - m_last_request_at < kHeartbeatLinger;
+    if (!HasWaitingCalls() && !is_in_use) {
+      if (now - m_last_call_at > kIdleClose) {
+        CloseIdle();
+      } else {
+        ScheduleHeartbeat();
+      }
+      return;
+    }
+
     // Check if the connection has gone silent
     if (m_heartbeats_sent - m_heartbeats_answered > kMissedHeartbeatsAllowed) {
       Drop();
@@ -252,6 +301,19 @@
     ScheduleHeartbeat();
   }
 
+  // Forgets the connection first, so that the next call opens another one.
+  void CloseIdle() {
+    m_was_idle = true;
+    m_ready = false;
+    const auto connection = std::exchange(m_connection, nullptr);
+    connection->Close();
+  }
+
+  [[nodiscard]] bool HasWaitingCalls() const {
+    return !m_queries.empty() || !m_runs.empty() || !m_controls.empty() ||
+           !m_share_asks.empty() || !m_lease_calls.empty();
+  }
+
   void Drop() {
     if (m_connection != nullptr) {
       m_connection->Close();
@@ -280,6 +342,8 @@
     const auto lease_calls = std::exchange(m_lease_calls, {});
     m_unsent_lease_calls.clear();
     m_unsent_controls.clear();
+    m_share_asks.clear();
+    m_unsent_share_asks.clear();
     for (const auto& [call, waiting] : queries) {
       waiting.m_sink(FailedAnswer(waiting.m_query, MissReason::kUnreachable));
     }
@@ -303,7 +367,9 @@
       Drop();
       return;
     }
-    LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    if (!std::exchange(m_was_idle, false)) {
+      LogEvent(EventId::kPeerConnected, "peer={}", m_target.m_id.Text());
+    }
     m_ready = true;
     for (const auto& [call, waiting] : m_queries) {
       m_connection->Send(waiting.m_query);
@@ -315,6 +381,10 @@
       m_connection->Send(control);
     }
     m_unsent_controls.clear();
+    for (const ShareAsk& ask : m_unsent_share_asks) {
+      m_connection->Send(ask);
+    }
+    m_unsent_share_asks.clear();
     for (const LeaseCall& call : m_unsent_lease_calls) {
       m_connection->Send(call);
     }
@@ -364,6 +434,17 @@
     CloseIfDone();
   }
 
+  void On(ShareReply reply) {
+    const auto found = m_share_asks.find(reply.m_number);
+    if (found == m_share_asks.end()) {
+      return;
+    }
+    const PeerService::ShareSink sink = std::move(found->second);
+    m_share_asks.erase(found);
+    sink(std::move(reply.m_grants));
+    CloseIfDone();
+  }
+
   void On(LeaseReply reply) {
     const auto found = m_lease_calls.find(reply.m_number);
     if (found == m_lease_calls.end()) {
@@ -384,7 +465,8 @@
 
   void CloseIfDone() {
     const bool is_done = m_queries.empty() && m_runs.empty() &&
-                         m_controls.empty() && m_lease_calls.empty();
+                         m_controls.empty() && m_lease_calls.empty() &&
+                         m_share_asks.empty();
     if (m_is_leaving && is_done) {
       Drop();
     }
@@ -395,6 +477,7 @@
   void On(const jackdawrack::Cancel&) { Drop(); }
   void On(const RunRequest&) { Drop(); }
   void On(const ControlCall&) { Drop(); }
+  void On(const ShareAsk&) { Drop(); }
   void On(const LeaseCall&) { Drop(); }
 
   const Instance m_target;
@@ -410,6 +493,10 @@
   bool m_closed = false;
   TimePoint m_no_connect_before{};
   bool m_is_leaving = false;
+  TimePoint m_last_call_at{};
+  TimePoint m_last_request_at{};
+  /// True from a close for want of calls until the next connection is ready.
+  bool m_was_idle = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
@@ -419,6 +506,9 @@
   std::unordered_map<std::uint64_t, ControlSink> m_controls;
   std::vector<ControlCall> m_unsent_controls;
   std::uint64_t m_last_control = 0;
+  std::unordered_map<std::uint64_t, PeerService::ShareSink> m_share_asks;
+  std::vector<ShareAsk> m_unsent_share_asks;
+  std::uint64_t m_last_share_ask = 0;
   std::unordered_map<std::uint64_t, PeerService::LeaseSink> m_lease_calls;
   std::vector<LeaseCall> m_unsent_lease_calls;
   std::uint64_t m_last_lease_call = 0;
@@ -449,6 +539,11 @@
   m_impl->Call(std::move(text), std::move(sink));
 }
 
+void PeerClient::Ask(std::vector<ShareWish> wishes,
+                     PeerService::ShareSink sink) {
+  m_impl->Ask(std::move(wishes), std::move(sink));
+}
+
 void PeerClient::Call(LeaseCallBody body, PeerService::LeaseSink sink) {
   m_impl->Call(std::move(body), std::move(sink));
 }
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -75,6 +75,14 @@
                            });
   }
 
+  void On(ShareAsk ask) {
+    auto sink = MakeSink<ShareReply>();
+    m_service.m_on_share_ask(m_peer, std::move(ask.m_wishes),
+                             [sink, number = ask.m_number](ShareGrants grants) {
+                               sink(ShareReply{number, std::move(grants)});
+                             });
+  }
+
   void On(LeaseCall call) {
     m_connection->Send(LeaseReply{
         call.m_number, m_service.m_on_lease_call(std::move(call.m_body))});
@@ -84,6 +92,7 @@
   void On(const SubAnswer&) { m_connection->Close(); }
   void On(const RunAnswer&) { m_connection->Close(); }
   void On(const ControlReply&) { m_connection->Close(); }
+  void On(const ShareReply&) { m_connection->Close(); }
   void On(const LeaseReply&) { m_connection->Close(); }
   void On(const Goodbye&) { m_connection->Close(); }
 
