--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -447,6 +447,7 @@
     const PeerService::ShareSink sink = std::move(found->second);
     m_share_asks.erase(found);
     sink(std::move(reply.m_grants));
+    CloseIfDone();
   }
 
   void On(LeaseReply reply) {
@@ -469,7 +470,8 @@
 
   void CloseIfDone() {
     const bool is_done = m_queries.empty() && m_runs.empty() &&
-                         m_controls.empty() && m_lease_calls.empty();
+                         m_controls.empty() && m_lease_calls.empty() &&
+                         m_share_asks.empty();
     if (m_is_leaving && is_done) {
       Drop();
     }
