--- a/bench/benchlib.py
+++ b/bench/benchlib.py
@@ -13,7 +13,8 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BIN = ROOT / "build" / "bin"
+# Other binaries than those of build/ can be measured by naming their folder
+BIN = pathlib.Path(os.environ.get("JACKDAWRACK_BIN", ROOT / "build" / "bin"))
 KEY_SPACE_END = 1 << 32
 BASE_PORT = 26000
 READY_TIMEOUT_S = 20
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include "core/event.h"
 #include "core/hash.h"
 
 namespace jackdawrack {
@@ -96,8 +97,7 @@
     return TextReply(200, "ok\n");
   }
   if (request.m_target == "/readyz") {
-    return IsReady() ? TextReply(200, "ready\n")
-                     : TextReply(kUnavailable, "not ready\n");
+    return Readiness();
   }
   if (request.m_target == "/metrics") {
     return TextReply(200, m_metrics.ToText());
@@ -121,6 +121,15 @@
          m_owner.IsReady();
 }
 
+HttpReply OperatorApi::Readiness() {
+  const bool is_ready = IsReady();
+  if (m_was_ready.exchange(is_ready) != is_ready) {
+    LogEvent(EventId::kReadinessChanged, "ready={}", is_ready ? "yes" : "no");
+  }
+  return is_ready ? TextReply(200, "ready\n")
+                  : TextReply(kUnavailable, "not ready\n");
+}
+
 HttpReply OperatorApi::Status() const {
   const auto view = m_holder.Get();
   json::array collections;
--- a/packages/daemon/src/operator_api.h
+++ b/packages/daemon/src/operator_api.h
@@ -31,6 +31,8 @@
 
  private:
   [[nodiscard]] bool IsReady() const;
+  // Answers the balancer and logs a change since it asked before.
+  [[nodiscard]] HttpReply Readiness();
   [[nodiscard]] HttpReply Status() const;
   [[nodiscard]] HttpReply Contracts() const;
   [[nodiscard]] HttpReply Explain(const std::string& id) const;
@@ -42,6 +44,7 @@
   const EntryService& m_entry;
   const OwnerService& m_owner;
   const std::atomic<bool>& m_stopping;
+  std::atomic<bool> m_was_ready{false};
 };
 
 }  // namespace jackdawrack
--- a/packages/tool/src/explain_command.cpp
+++ b/packages/tool/src/explain_command.cpp
@@ -55,7 +55,11 @@
   const json::value* steps = trace.if_contains("steps");
   if (steps != nullptr && steps->is_array()) {
     for (const json::value& item : steps->as_array()) {
-      const json::object& step = item.as_object();
+      const json::object* object = item.if_object();
+      if (object == nullptr) {
+        continue;
+      }
+      const json::object& step = *object;
       table.AddRow({fmt::format("{:.3f}", NumberOf(step, "at_ms")),
                     JsonText(step, "step"), JsonText(step, "owner"),
                     Detail(step)});
