--- a/packages/peer/bench/codec_bench.cpp
+++ b/packages/peer/bench/codec_bench.cpp
@@ -48,7 +48,8 @@
   for (const jackdawrack::KeyRange& range : MakeRanges()) {
     answer.m_ranges.push_back({range,
                                jackdawrack::MissReason::kNone,
-                               {"0-10737418@7:free on 2026-05-01, primes"}});
+                               {"0-10737418@7:free on 2026-05-01, primes"},
+                               {}});
   }
   return answer;
 }
--- a/packages/peer/include/peer/peer_server.h
+++ b/packages/peer/include/peer/peer_server.h
@@ -6,6 +6,7 @@
 #include "model/endpoint.h"
 #include "net/net_error.h"
 #include "peer/peer_service.h"
+#include "peer/peer_traffic.h"
 
 namespace jackdawrack {
 
@@ -16,7 +17,8 @@
   PeerServer(boost::asio::io_context& context,
              Endpoint endpoint,
              Hello self,
-             PeerService service);
+             PeerService service,
+             const PeerTraffic& traffic);
   ~PeerServer();
 
   PeerServer(const PeerServer&) = delete;
@@ -25,6 +27,13 @@
   /// Binds and starts to accept.
   NetResult<void> Start();
 
+  /// Tells every peer to ask nothing more; what was asked is answered, and the
+  /// peers close their connections.
+  void SayGoodbye();
+
+  /// Open connections of peers.
+  [[nodiscard]] std::size_t OpenConnections() const;
+
   /// Closes the listener and every connection.
   void Stop();
 
