Answer a resend 'unknown' where only the key's holder could prove 'not run'

Ruled out: a second execution. A caller marks a resend by 'Idempotency-Resend: true'; refusals without the holder's word then say unknown. An instance without any contract says not_ready instead of unknown_customer.

--- a/packages/entry/src/caller_codec.cpp
+++ b/packages/entry/src/caller_codec.cpp
@@ -152,13 +152,17 @@
   return reply;
 }
 
-HttpReply EncodeError(const EntryError& error) {
+bool IsResend(const HttpRequest& request) {
+  return request.Header("Idempotency-Resend") == "true";
+}
+
+HttpReply EncodeError(const EntryError& error, bool is_resend) {
   HttpReply reply;
   reply.m_status = EntryErrorStatus(error.m_code);
   reply.m_body = HttpBody(json::object{
       {"error", EntryErrorName(error.m_code)},
       {"message", error.m_message},
-      {"executed", "no"},
+      {"executed", is_resend ? "unknown" : "no"},
   });
   return reply;
 }
--- a/packages/entry/src/caller_codec.h
+++ b/packages/entry/src/caller_codec.h
@@ -27,7 +27,12 @@
 /// The reply to a non-idempotent request.
 [[nodiscard]] HttpReply EncodeRunAnswer(const RunAnswer& answer);
 
-/// The reply to a refused request.
-[[nodiscard]] HttpReply EncodeError(const EntryError& error);
+/// True if the caller says by "Idempotency-Resend: true" that it sent the same
+/// key before, so that a refusal here proves nothing about the key.
+[[nodiscard]] bool IsResend(const HttpRequest& request);
+
+/// The reply to a refused request; "executed" is "unknown" for a resend.
+[[nodiscard]] HttpReply EncodeError(const EntryError& error,
+                                    bool is_resend = false);
 
 }  // namespace jackdawrack
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -20,6 +20,12 @@
   return MakeError(code, std::move(message));
 }
 
+// False for "not run" without word from the holder of the key: that this send
+// did not run says nothing of an earlier one.
+bool ProvesKeyNotRun(const RunAnswer& answer) {
+  return answer.m_outcome != Outcome::kNotRun || !answer.m_is_retryable;
+}
+
 }  // namespace
 
 class EntryService::Impl final : public std::enable_shared_from_this<Impl> {
@@ -87,6 +93,9 @@
     Terms terms;
     terms.m_view = m_holder.Get();
     const FleetState& state = terms.m_view->State();
+    if (state.m_contracts.empty()) {
+      return Refusal(EntryErrc::kNotReady, "no configuration yet");
+    }
     terms.m_contract = state.FindContract(customer);
     if (terms.m_contract == nullptr) {
       return Refusal(
@@ -151,21 +160,22 @@
   }
 
   void HandleRun(const HttpRequest& request, const HttpServer::Reply& reply) {
+    const bool is_resend = IsResend(request);
     auto decoded = DecodeCallerRequest(request, m_settings);
     if (!decoded) {
-      Refuse(decoded.error(), reply);
+      Refuse(decoded.error(), reply, is_resend);
       return;
     }
     const CallerRequest& caller = decoded.assume_value();
     const auto terms = FindTerms(caller.m_customer, caller.m_kind, false);
     if (!terms) {
-      RefuseCustomer(caller.m_customer, terms.error(), reply);
+      RefuseCustomer(caller.m_customer, terms.error(), reply, is_resend);
       return;
     }
     const Terms& found = terms.assume_value();
     const auto admitted = Admit(*found.m_contract);
     if (!admitted) {
-      RefuseCustomer(caller.m_customer, admitted.error(), reply);
+      RefuseCustomer(caller.m_customer, admitted.error(), reply, is_resend);
       return;
     }
     RunRequest run;
@@ -181,8 +191,11 @@
         m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
     std::make_shared<RequestRun>(
         m_context, m_router, m_holder, m_suspects, std::move(run), trace,
-        [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
+        [self = shared_from_this(), trace, reply, is_resend](RunAnswer answer) {
           self->m_admission.Release(trace->Record().m_customer);
+          if (is_resend && !ProvesKeyNotRun(answer)) {
+            answer.m_outcome = Outcome::kUnknown;
+          }
           self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         })
@@ -204,22 +217,25 @@
     return Refusal(EntryErrc::kOverLimit, "over the contract");
   }
 
-  void Refuse(const EntryError& error, const HttpServer::Reply& reply) {
+  void Refuse(const EntryError& error,
+              const HttpServer::Reply& reply,
+              bool is_resend = false) {
     m_metrics
         .CounterFor("jackdawrack_refusals",
                     fmt::format("error=\"{}\"", EntryErrorName(error.m_code)))
         .Add();
     LogEvent(EventId::kRequestRefused, "error={} message={}",
              EntryErrorName(error.m_code), error.m_message);
-    reply(EncodeError(error));
+    reply(EncodeError(error, is_resend));
   }
 
   // Counts the refusal for the customer too.
   void RefuseCustomer(const Customer& customer,
                       const EntryError& error,
-                      const HttpServer::Reply& reply) {
+                      const HttpServer::Reply& reply,
+                      bool is_resend = false) {
     m_recorder.Refuse(customer, error.m_code);
-    Refuse(error, reply);
+    Refuse(error, reply, is_resend);
   }
 
   RequestId NextRequest() {
--- a/packages/testing/include/testing/steady_callers.h
+++ b/packages/testing/include/testing/steady_callers.h
@@ -18,7 +18,7 @@
   std::size_t m_booking_threads = 0;
   Milliseconds m_pause{2};
   /// Sends of one booking whose outcome stays unknown, each through an
-  /// instance drawn anew.
+  /// instance drawn anew; those after the first are marked as resends.
   int m_max_sends = 3;
 };
 
--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -104,7 +104,8 @@
   HttpReply Book(const std::string& instance,
                  const std::string& key,
                  const std::string& idempotency_key,
-                 const std::string& body);
+                 const std::string& body,
+                 bool is_resend = false);
   /// GET on the operators' listener.
   HttpReply Operator(const std::string& instance,
                      const std::string& target,
--- a/packages/testing/src/steady_callers.cpp
+++ b/packages/testing/src/steady_callers.cpp
@@ -72,7 +72,7 @@
   const std::string lens = fmt::format("lens-{}", random() % kLenses);
   for (int sends = 0; sends < m_settings.m_max_sends; ++sends) {
     const std::string instance = DrawInstance(random);
-    const HttpReply http = m_fleet.Book(instance, lens, key, "b");
+    const HttpReply http = m_fleet.Book(instance, lens, key, "b", sends > 0);
     const BookingReply reply = ReadBookingReply(http);
     m_bookings.Record(key, reply, instance + " " + BookingReason(http));
     if (reply != BookingReply::kUnknown) {
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -304,7 +304,8 @@
 HttpReply TestFleet::Book(const std::string& instance,
                           const std::string& key,
                           const std::string& idempotency_key,
-                          const std::string& body) {
+                          const std::string& body,
+                          bool is_resend) {
   HttpRequest request =
       MakePost("/v1/request",
                boost::json::serialize(boost::json::object{{"customer", "acme"},
@@ -312,6 +313,9 @@
                                                           {"key", key},
                                                           {"body", body}}));
   request.m_headers.push_back({"Idempotency-Key", idempotency_key});
+  if (is_resend) {
+    request.m_headers.push_back({"Idempotency-Resend", "true"});
+  }
   return CallOrZero(Callers(instance), std::move(request), kCallTimeout);
 }
 
--- a/packages/testing/tests/refusal_test.cpp
+++ b/packages/testing/tests/refusal_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "testing/steady_callers.h"
+#include "tool/uuid.h"
 
 namespace jackdawrack {
 namespace {
@@ -90,5 +91,32 @@
   REQUIRE(callers.FirstFault() == "");
 }
 
+TEST_CASE("no entry says of a resend that it was not run when the key ran") {
+  TestFleetSettings settings = MakeSettings("refusal-resend");
+  settings.m_instances_per_domain = 1;
+  TestFleet fleet(settings);
+  fleet.Start();
+  std::string key;
+  BookingReply first = BookingReply::kUnknown;
+  for (int tries = 0; tries < 100 && first != BookingReply::kRan; ++tries) {
+    key = MakeUuidV7(SteadyClock().WallNowMs());
+    first = ReadBookingReply(fleet.Book("east-1", "lens-1", key, "b"));
+    std::this_thread::sleep_for(Milliseconds(100));
+  }
+  REQUIRE(first == BookingReply::kRan);
+
+  // Leave each entry alone, one of them without what it knew
+  fleet.Proxy().Add({FaultRule()});
+  fleet.Process("south-1").Kill();
+  fleet.StartInstance("south-1");
+  std::this_thread::sleep_for(kStep);
+  for (const std::string& instance : fleet.InstanceNames()) {
+    const HttpReply reply = fleet.Book(instance, "lens-1", key, "b", true);
+    INFO(instance << " " << reply.m_status << " " << reply.m_body);
+    REQUIRE(reply.m_status != 0);
+    REQUIRE(ReadBookingReply(reply) != BookingReply::kNotRun);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
