--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -48,6 +48,7 @@
   entry.m_instance = settings.m_id;
   entry.m_domain = settings.m_domain;
   entry.m_epoch = epoch;
+  entry.m_query_policy = settings.m_query_policy;
   if (settings.m_direct_baseline) {
     entry.m_direct_self = Instance{settings.m_id, settings.m_domain,
                                    settings.m_peers, InstanceState::kLive};
@@ -75,8 +76,10 @@
                 LeaseHolderId{m_settings.m_id, m_hello.m_epoch},
                 m_settings.m_domain,
                 m_holder,
+                m_settings.m_query_policy,
                 m_metrics),
-        m_router(m_workers.Context(), m_hello, MakeService()),
+        m_traffic(m_metrics),
+        m_router(m_workers.Context(), m_hello, MakeService(), m_traffic),
         m_control(m_workers.Context(),
                   m_settings,
                   m_router,
@@ -90,7 +93,8 @@
         m_peer_server(m_workers.Context(),
                       m_settings.m_peers,
                       m_hello,
-                      MakeService()),
+                      MakeService(),
+                      m_traffic),
         m_callers(m_workers.Context(),
                   MakeServerSettings(m_settings, m_settings.m_callers),
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
@@ -195,7 +199,11 @@
              m_callers.RunningRequests());
 
     // Answer peers until they have moved off
-    WaitUntil(kMaxPeerDrain, [this] { return m_owner.RunningCount() == 0; });
+    m_peer_server.SayGoodbye();
+    WaitUntil(kMaxPeerDrain, [this] {
+      return m_owner.RunningCount() == 0 &&
+             m_peer_server.OpenConnections() == 0;
+    });
     LogEvent(EventId::kProcessStopped, "running={} peer_calls={}",
              m_callers.RunningRequests(), m_owner.RunningCount());
   }
@@ -216,6 +224,7 @@
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
   OwnerService m_owner;
+  const PeerTraffic m_traffic;
   PeerRouter m_router;
   ControlService m_control;
   EntryService m_entry;
--- a/packages/entry/include/entry/entry_settings.h
+++ b/packages/entry/include/entry/entry_settings.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "model/instance.h"
+#include "model/query_policy_settings.h"
 
 namespace jackdawrack {
 
@@ -15,6 +16,7 @@
   std::uint64_t m_epoch = 0;
   std::size_t m_max_idempotency_key_bytes = 128;
   std::size_t m_max_ranges = 4096;
+  QueryPolicySettings m_query_policy;
   /// This instance, if queries go past the owners of its own domain.
   std::optional<Instance> m_direct_self;
 };
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -29,6 +29,8 @@
 
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kReconnectDelay{200};
+/// Time for which a peer that said goodbye is not connected to.
+constexpr Milliseconds kGoodbyeDelay{1000};
 constexpr std::size_t kMaxWaitingCalls = 20'000;
 
 SubAnswer FailedAnswer(const SubQuery& query, MissReason reason) {
@@ -37,7 +39,7 @@
   answer.m_index_version = query.m_index_version;
   answer.m_is_last = true;
   for (const KeyRange& range : query.m_ranges) {
-    answer.m_ranges.push_back(RangeAnswer{range, reason, {}});
+    answer.m_ranges.push_back(RangeAnswer{range, reason, {}, {}});
   }
   return answer;
 }
@@ -55,9 +57,13 @@
 
 class PeerClient::Impl final : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, Instance target, Hello self)
+  Impl(asio::io_context& context,
+       Instance target,
+       Hello self,
+       const PeerTraffic& traffic)
       : m_target(std::move(target)),
         m_self(std::move(self)),
+        m_traffic(traffic),
         m_strand(asio::make_strand(context)),
         m_timer(m_strand),
         m_connect_timer(m_strand) {}
@@ -83,6 +89,7 @@
       if (self->m_ready) {
         self->m_connection->Send(jackdawrack::Cancel{call});
       }
+      self->CloseIfDone();
     });
   }
 
@@ -249,7 +256,8 @@
       FailAll();
       return;
     }
-    m_connection = std::make_shared<PeerConnection>(std::move(socket));
+    m_connection =
+        std::make_shared<PeerConnection>(std::move(socket), m_traffic);
     m_connection->Start(
         [self = shared_from_this()](PeerFrame frame) {
           std::visit([&](auto& message) { self->On(std::move(message)); },
@@ -324,7 +332,9 @@
     m_connection = nullptr;
     m_ready = false;
     m_timer.cancel();
-    m_no_connect_before = SteadyClock().Now() + kReconnectDelay;
+    const Milliseconds delay = m_is_leaving ? kGoodbyeDelay : kReconnectDelay;
+    m_no_connect_before = SteadyClock().Now() + delay;
+    m_is_leaving = false;
     LogEvent(EventId::kPeerLost, "peer={} calls={}", m_target.m_id.Text(),
              m_queries.size() + m_runs.size());
     FailAll();
@@ -402,6 +412,7 @@
       m_queries.erase(found);
     }
     sink(std::move(answer));
+    CloseIfDone();
   }
 
   void On(RunAnswer answer) {
@@ -414,6 +425,7 @@
     const PeerService::RunAnswerSink sink = std::move(found->second.m_sink);
     m_runs.erase(found);
     sink(std::move(answer));
+    CloseIfDone();
   }
 
   void On(ControlReply reply) {
@@ -424,6 +436,7 @@
     const ControlSink sink = std::move(found->second);
     m_controls.erase(found);
     sink(std::move(reply.m_text));
+    CloseIfDone();
   }
 
   void On(ShareReply reply) {
@@ -444,6 +457,22 @@
     const PeerService::LeaseSink sink = std::move(found->second);
     m_lease_calls.erase(found);
     sink(std::move(reply.m_body));
+    CloseIfDone();
+  }
+
+  // Asks nothing more, and closes once everything is answered.
+  void On(const Goodbye&) {
+    m_is_leaving = true;
+    m_no_connect_before = SteadyClock().Now() + kGoodbyeDelay;
+    CloseIfDone();
+  }
+
+  void CloseIfDone() {
+    const bool is_done = m_queries.empty() && m_runs.empty() &&
+                         m_controls.empty() && m_lease_calls.empty();
+    if (m_is_leaving && is_done) {
+      Drop();
+    }
   }
 
   // Calls do not arrive on a dialled connection.
@@ -456,6 +485,7 @@
 
   const Instance m_target;
   const Hello m_self;
+  const PeerTraffic m_traffic;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_timer;
   asio::steady_timer m_connect_timer;
@@ -470,6 +500,7 @@
   TimePoint m_last_request_at{};
   /// True from a close for want of calls until the next connection is ready.
   bool m_was_idle = false;
+  bool m_is_leaving = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
@@ -487,10 +518,14 @@
   std::uint64_t m_last_lease_call = 0;
 };
 
-PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
-    : m_impl(
-          std::make_shared<Impl>(context, std::move(target), std::move(self))) {
-}
+PeerClient::PeerClient(asio::io_context& context,
+                       Instance target,
+                       Hello self,
+                       const PeerTraffic& traffic)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(target),
+                                    std::move(self),
+                                    traffic)) {}
 
 PeerClient::~PeerClient() {
   m_impl->Close();
--- a/packages/policy/src/query_planner.cpp
+++ b/packages/policy/src/query_planner.cpp
@@ -11,6 +11,7 @@
 // The preference of one domain for one shard; the least one is chosen.
 struct DomainRank {
   bool m_tried = false;
+  bool m_is_slow = false;
   bool m_is_remote = false;
   std::uint64_t m_spread = 0;
 
@@ -23,11 +24,13 @@
   OwnerChooser(const FleetView& view,
                const CollectionMap& collection,
                const FailureDomain& own_domain,
-               const TriedDomains& tried)
+               const TriedDomains& tried,
+               const ReplicaSet& avoid)
       : m_collection(collection),
         m_owners(view.Owners().ForCollection(collection)),
         m_own_domain(own_domain),
-        m_tried(tried) {
+        m_tried(tried),
+        m_avoid(avoid) {
     for (const FailureDomain& domain : collection.Domains()) {
       m_domain_hashes.push_back(Hash64(domain.Text()));
     }
@@ -49,7 +52,7 @@
       if (owner == nullptr) {
         continue;
       }
-      const DomainRank rank = Rank(domain, block, part);
+      const DomainRank rank = Rank(domain, block, shard, part);
       if (best == nullptr || rank < best_rank) {
         best = owner;
         best_rank = rank;
@@ -63,10 +66,13 @@
   // share one frame.
   [[nodiscard]] DomainRank Rank(std::uint32_t domain,
                                 std::size_t block,
+                                const Shard& shard,
                                 const KeyRange& part) const {
     const FailureDomain& name = m_collection.Domains()[domain];
     DomainRank rank;
     rank.m_tried = m_tried.Contains(name, part);
+    rank.m_is_slow = !m_avoid.empty() && m_avoid.count(ReplicaKey{
+                                             name, shard.m_range.m_begin}) != 0;
     rank.m_is_remote = name != m_own_domain;
     if (rank.m_is_remote) {
       rank.m_spread = MixHash(block, m_domain_hashes[domain]);
@@ -78,6 +84,7 @@
   const CollectionOwners m_owners;
   const FailureDomain& m_own_domain;
   const TriedDomains& m_tried;
+  const ReplicaSet& m_avoid;
   std::vector<std::uint64_t> m_domain_hashes;
 };
 
@@ -118,8 +125,9 @@
                     const CollectionMap& collection,
                     const std::vector<KeyRange>& ranges,
                     const FailureDomain& own_domain,
-                    const TriedDomains& tried) {
-  const OwnerChooser chooser(view, collection, own_domain, tried);
+                    const TriedDomains& tried,
+                    const ReplicaSet& avoid) {
+  const OwnerChooser chooser(view, collection, own_domain, tried, avoid);
   PlanBuilder builder;
   for (const KeyRange& range : ranges) {
     JR_CHECK(range.IsValid());
--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -35,6 +35,8 @@
   bool m_proxied = false;
   /// Seed of the proxy's random draws.
   std::uint64_t m_proxy_seed = 1;
+  /// Lines of [policy] of every instance.
+  std::string m_policy;
 };
 
 /// A fleet of real processes on loopback: platform and upstream stand-ins and
