Eject a straggler that hedges hide; spend hedges on single late replicas first

Cause: a lost race was recorded with the time at which the hedge won, under three times the median, so the straggler was never ejected and drained the hedge budget (290 wins of 334 hedges, p99 46.0 ms against 17.1 steady). A withdrawn answer now counts double; a call that is late as a whole waits three delays; the delay leaves half of the contract's hedge share unused. Ruled out: host noise alone, since the hedges were spent in slow windows.

--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -24,6 +24,11 @@
 /// Least time left in which asking again can still help.
 constexpr Milliseconds kLeastRetryTime{10};
 
+/// Up to so many late ranges of one call are hedged at the usual delay, more of
+/// them only after this multiple of it.
+constexpr std::size_t kFewLateRanges = 2;
+constexpr int kPostponedHedgeFactor = 3;
+
 /// Transport time kept back from an owner, by where it is.
 constexpr Milliseconds kLocalHopReserve{1};
 constexpr Milliseconds kRemoteHopReserve{4};
@@ -326,16 +331,25 @@
   });
 }
 
+std::optional<TimePoint> QueryRun::HedgeDue(const OpenCall& call) const {
+  if (call.m_is_hedge || call.m_was_hedged) {
+    return std::nullopt;
+  }
+  const auto delay = m_tables.HedgeDelay(
+      *m_spec.m_contract, m_spec.m_collection->Name(), call.m_owner.m_domain);
+  if (!delay) {
+    return std::nullopt;
+  }
+  const int factor = call.m_is_hedge_postponed ? kPostponedHedgeFactor : 1;
+  return call.m_sent + *delay * factor;
+}
+
 void QueryRun::ScheduleHedge() {
   std::optional<TimePoint> next;
   for (const auto& [attempt, call] : m_open_calls) {
-    if (call.m_is_hedge || call.m_was_hedged) {
-      continue;
-    }
-    const auto delay =
-        m_tables.HedgeDelay(m_spec.m_collection->Name(), call.m_owner.m_domain);
-    if (delay && (!next || call.m_sent + *delay < *next)) {
-      next = call.m_sent + *delay;
+    const auto due = HedgeDue(call);
+    if (due && (!next || *due < *next)) {
+      next = due;
     }
   }
   if (!next) {
@@ -353,10 +367,8 @@
   const TimePoint now = SteadyClock().Now();
   std::vector<std::uint32_t> due;
   for (const auto& [attempt, call] : m_open_calls) {
-    const auto delay =
-        m_tables.HedgeDelay(m_spec.m_collection->Name(), call.m_owner.m_domain);
-    if (!call.m_is_hedge && !call.m_was_hedged && delay &&
-        call.m_sent + *delay <= now) {
+    const auto hedge_due = HedgeDue(call);
+    if (hedge_due && *hedge_due <= now) {
       due.push_back(attempt);
     }
   }
@@ -368,8 +380,18 @@
 
 void QueryRun::HedgeCall(std::uint32_t attempt) {
   OpenCall& call = m_open_calls.at(attempt);
-  call.m_was_hedged = true;
   const QueryPlan plan = Plan(call.m_unanswered.Ranges());
+
+  // Keep the budget for single late replicas if the whole call is late
+  std::size_t late = 0;
+  for (const OwnerShare& share : plan.m_shares) {
+    late += share.m_ranges.size();
+  }
+  if (late > kFewLateRanges && !call.m_is_hedge_postponed) {
+    call.m_is_hedge_postponed = true;
+    return;
+  }
+  call.m_was_hedged = true;
   for (const OwnerShare& share : plan.m_shares) {
     // Keep the ranges that another domain can answer within the budget
     OwnerShare hedge{share.m_owner, {}};
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -58,6 +58,8 @@
     RangeSet m_unanswered;
     TimePoint m_sent{};
     bool m_is_hedge = false;
+    /// True while its hedge waits longer because most of it is late.
+    bool m_is_hedge_postponed = false;
     /// True once late ranges of it were asked for elsewhere.
     bool m_was_hedged = false;
   };
@@ -84,6 +86,7 @@
                                      const KeyRange& range) const;
 
   // Hedges
+  [[nodiscard]] std::optional<TimePoint> HedgeDue(const OpenCall& call) const;
   void ScheduleHedge();
   void OnHedgeDue();
   void HedgeCall(std::uint32_t attempt);
--- a/packages/entry/src/query_tables.cpp
+++ b/packages/entry/src/query_tables.cpp
@@ -7,7 +7,9 @@
 
 constexpr double kHedgeBurst = 20;
 constexpr double kRetryBurst = 20;
-constexpr double kHedgeQuantile = 0.99;
+/// Part of the hedge share that the learned delay uses up in a usual time; the
+/// rest is left for stragglers.
+constexpr double kUsualHedgePart = 0.5;
 constexpr double kLeastSamples = 50;
 constexpr Milliseconds kLeastHedgeDelay{2};
 constexpr Milliseconds kEvaluationInterval{100};
@@ -82,7 +84,7 @@
                              const ReplicaKey& replica,
                              Duration waited) {
   const std::lock_guard lock(m_mutex);
-  m_slow[collection].m_replicas.Record(replica, waited);
+  m_slow[collection].m_replicas.RecordWithdrawn(replica, waited);
 }
 
 ReplicaSet QueryTables::SlowReplicasOf(const CollectionName& collection) {
@@ -100,9 +102,10 @@
 }
 
 std::optional<Duration> QueryTables::HedgeDelay(
+    const Contract& contract,
     const CollectionName& collection,
     const FailureDomain& domain) const {
-  if (!m_settings.m_hedging) {
+  if (!m_settings.m_hedging || contract.HedgeShare() <= 0) {
     return std::nullopt;
   }
   const std::lock_guard lock(m_mutex);
@@ -110,7 +113,8 @@
   if (found == m_latencies.end()) {
     return std::nullopt;
   }
-  const auto delay = found->second.Quantile(kHedgeQuantile, kLeastSamples);
+  const double quantile = 1 - contract.HedgeShare() * kUsualHedgePart;
+  const auto delay = found->second.Quantile(quantile, kLeastSamples);
   if (!delay) {
     return std::nullopt;
   }
--- a/packages/entry/src/query_tables.h
+++ b/packages/entry/src/query_tables.h
@@ -57,9 +57,11 @@
                   Duration waited);
   /// Replicas that a new query avoids because they are slow.
   [[nodiscard]] ReplicaSet SlowReplicasOf(const CollectionName& collection);
-  /// Time after which an answer counts as late; nothing while too little was
-  /// seen or hedging is off.
+  /// Time after which an answer counts as late: the quantile that leaves half
+  /// of the contract's hedge share unused. Nothing while too little was seen or
+  /// hedging is off.
   [[nodiscard]] std::optional<Duration> HedgeDelay(
+      const Contract& contract,
       const CollectionName& collection,
       const FailureDomain& domain) const;
 
--- a/packages/policy/include/policy/slow_replicas.h
+++ b/packages/policy/include/policy/slow_replicas.h
@@ -31,7 +31,7 @@
   static constexpr int kSlowFactor = 3;
   static constexpr Milliseconds kSlowMargin{5};
   /// Answers needed before a replica is judged.
-  static constexpr std::uint32_t kLeastSamples = 3;
+  static constexpr std::uint32_t kLeastSamples = 2;
   /// Greatest share of a domain's replicas ejected; one is always allowed.
   static constexpr double kGreatestShare = 0.1;
   static constexpr Milliseconds kFirstEjection{2'000};
@@ -39,10 +39,18 @@
   /// While on trial, one in this many requests goes to the replica.
   static constexpr std::uint32_t kTrialPart = 16;
 
-  /// Notes the latency of an answer; of one that was withdrawn, the time that
-  /// it had already taken.
+  /// A withdrawn answer counts as this multiple of the time it had taken, as
+  /// hedges would else hide how slow a replica is.
+  static constexpr int kWithdrawnFactor = 2;
+
+  /// Notes the latency of an answer.
   void Record(const ReplicaKey& replica, Duration latency);
 
+  /// Notes that another replica answered first, after `waited`.
+  void RecordWithdrawn(const ReplicaKey& replica, Duration waited) {
+    Record(replica, waited * kWithdrawnFactor);
+  }
+
   /// Judges all replicas and returns how many were newly ejected.
   std::uint32_t Evaluate(TimePoint now);
 
--- a/packages/policy/tests/slow_replicas_test.cpp
+++ b/packages/policy/tests/slow_replicas_test.cpp
@@ -51,6 +51,20 @@
   REQUIRE(replicas.ToAvoid().size() == 3);
 }
 
+TEST_CASE("hedges that win do not hide a slow replica") {
+  ManualClock clock;
+  SlowReplicas replicas;
+  for (int i = 0; i < 5; ++i) {
+    AnswerAll(replicas, 0);
+  }
+
+  // A hedge wins at 11 ms each time: under three times the median
+  for (int i = 0; i < 5; ++i) {
+    replicas.RecordWithdrawn(ReplicaKey{kEast, 0}, Milliseconds(11));
+  }
+  REQUIRE(replicas.Evaluate(clock.Now()) == 1);
+}
+
 TEST_CASE("a domain that is slow as a whole ejects nobody") {
   ManualClock clock;
   SlowReplicas replicas;
