--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -10,6 +10,7 @@
 #include "entry/entry_service.h"
 #include "fleet/control_service.h"
 #include "net/http_server.h"
+#include "net/outbound_address.h"
 #include "operator_api.h"
 #include "owner/owner_service.h"
 #include "peer/peer_router.h"
@@ -77,7 +78,8 @@
                 m_holder,
                 m_settings.m_query_policy,
                 m_metrics),
-        m_router(m_workers.Context(), m_hello, MakeService()),
+        m_traffic(m_metrics),
+        m_router(m_workers.Context(), m_hello, MakeService(), m_traffic),
         m_control(m_workers.Context(),
                   m_settings,
                   m_router,
@@ -91,7 +93,8 @@
         m_peer_server(m_workers.Context(),
                       m_settings.m_peers,
                       m_hello,
-                      MakeService()),
+                      MakeService(),
+                      m_traffic),
         m_callers(m_workers.Context(),
                   MakeServerSettings(m_settings, m_settings.m_callers),
                   [this](const HttpRequest& request, HttpServer::Reply reply) {
@@ -114,6 +117,7 @@
   ~Impl() { m_workers.Stop(); }
 
   NetResult<void> Start() {
+    SetOutboundAddress(m_workers.Context(), m_settings.m_outbound_address);
     for (auto start :
          {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
       if (!start) {
@@ -195,7 +199,11 @@
              m_callers.RunningRequests());
 
     // Answer peers until they have moved off
-    WaitUntil(kMaxPeerDrain, [this] { return m_owner.RunningCount() == 0; });
+    m_peer_server.SayGoodbye();
+    WaitUntil(kMaxPeerDrain, [this] {
+      return m_owner.RunningCount() == 0 &&
+             m_peer_server.OpenConnections() == 0;
+    });
     LogEvent(EventId::kProcessStopped, "running={} peer_calls={}",
              m_callers.RunningRequests(), m_owner.RunningCount());
   }
@@ -216,6 +224,7 @@
   std::atomic<bool> m_stopping{false};
   WorkerPool m_workers;
   OwnerService m_owner;
+  const PeerTraffic m_traffic;
   PeerRouter m_router;
   ControlService m_control;
   EntryService m_entry;
--- a/packages/entry/src/entry_service.cpp
+++ b/packages/entry/src/entry_service.cpp
@@ -182,9 +182,8 @@
         m_recorder.Begin(run.m_call.m_request, run.m_customer, run.m_kind);
     std::make_shared<RequestRun>(
         m_context, m_router, m_holder, m_suspects, std::move(run), trace,
-        [self = shared_from_this(), customer = caller.m_customer, trace,
-         reply](const RunAnswer& answer) {
-          self->m_admission.Release(customer);
+        [self = shared_from_this(), trace, reply](const RunAnswer& answer) {
+          self->m_admission.Release(trace->Record().m_customer);
           self->m_recorder.FinishRun(*trace, answer);
           reply(EncodeRunAnswer(answer));
         })
--- a/packages/entry/src/request_trace.cpp
+++ b/packages/entry/src/request_trace.cpp
@@ -62,6 +62,21 @@
   Add(std::move(step), now);
 }
 
+void RequestTrace::AnsweredRun(const InstanceId& owner,
+                               Outcome outcome,
+                               const std::string& reason,
+                               TimePoint now) {
+  TraceStep step;
+  step.m_kind = TraceStepKind::kAnswered;
+  step.m_owner = owner;
+  step.m_ranges = 1;
+  step.m_note = std::string(OutcomeName(outcome));
+  if (!reason.empty()) {
+    step.m_note += ": " + reason;
+  }
+  Add(std::move(step), now);
+}
+
 void RequestTrace::Retried(std::size_t ranges, TimePoint now) {
   ++m_counts.m_retries;
   TraceStep step;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/check.h"
+#include "net/outbound_address.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -102,13 +105,21 @@
   }
 
   asio::awaitable<NetResult<void>> EnsureOpen(Milliseconds timeout) {
-    if (m_open) {
+    if (m_open && !IsStale()) {
       co_return boost::outcome_v2::success();
     }
+    CloseNow();
     beast::error_code bad_address;
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(m_settings.m_endpoint.m_address, bad_address),
         m_settings.m_endpoint.m_port);
+    if (!m_stream.socket().is_open()) {
+      BindOutboundAddress(m_stream.socket(), bad_address);
+    }
+    if (bad_address) {
+      CloseNow();
+      co_return MakeError(NetErrc::kNotSent, bad_address.message());
+    }
     m_stream.expires_after(std::min(timeout, m_settings.m_connect_timeout));
     const auto [error] = co_await m_stream.async_connect(endpoint, kTuple);
     if (error) {
@@ -165,6 +176,15 @@
     co_return FromWire(parser.get());
   }
 
+  // True when the other side has closed the idle connection, or has sent what
+  // nobody asked for.
+  [[nodiscard]] bool IsStale() {
+    char byte = 0;
+    const auto peeked = recv(m_stream.socket().native_handle(), &byte,
+                             sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   void CloseNow() {
     m_open = false;
     beast::error_code ignored;
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -17,9 +17,11 @@
  public:
   PeerSession(asio::ip::tcp::socket socket,
               const Hello& self,
-              const PeerService& service)
+              const PeerService& service,
+              const PeerTraffic& traffic)
       : m_executor(socket.get_executor()),
-        m_connection(std::make_shared<PeerConnection>(std::move(socket))),
+        m_connection(
+            std::make_shared<PeerConnection>(std::move(socket), traffic)),
         m_self(self),
         m_service(service) {}
 
@@ -33,6 +35,12 @@
     m_connection->Send(m_self);
   }
 
+  void SayGoodbye() {
+    asio::post(m_executor, [self = shared_from_this()] {
+      self->m_connection->Send(Goodbye{self->m_self.m_epoch});
+    });
+  }
+
   void Close() {
     asio::post(m_executor,
                [self = shared_from_this()] { self->m_connection->Close(); });
@@ -88,6 +96,7 @@
   void On(const ControlReply&) { m_connection->Close(); }
   void On(const ShareReply&) { m_connection->Close(); }
   void On(const LeaseReply&) { m_connection->Close(); }
+  void On(const Goodbye&) { m_connection->Close(); }
 
   template <typename Message>
   std::function<void(Message)> MakeSink() {
@@ -112,11 +121,13 @@
   Impl(asio::io_context& context,
        Endpoint endpoint,
        Hello self,
-       PeerService service)
+       PeerService service,
+       const PeerTraffic& traffic)
       : m_context(context),
         m_endpoint(std::move(endpoint)),
         m_self(std::move(self)),
         m_service(std::move(service)),
+        m_traffic(traffic),
         m_acceptor(asio::make_strand(context)) {}
 
   NetResult<void> Start() {
@@ -144,6 +155,19 @@
     return boost::outcome_v2::success();
   }
 
+  void SayGoodbye() {
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+      self->m_is_leaving = true;
+      for (const auto& session : self->m_sessions) {
+        session->SayGoodbye();
+      }
+    });
+  }
+
+  [[nodiscard]] std::size_t OpenConnections() const {
+    return m_open_connections;
+  }
+
   void Stop() {
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -171,33 +195,47 @@
 
   void StartSession(asio::ip::tcp::socket socket) {
     const auto executor = socket.get_executor();
-    auto session =
-        std::make_shared<PeerSession>(std::move(socket), m_self, m_service);
+    auto session = std::make_shared<PeerSession>(std::move(socket), m_self,
+                                                 m_service, m_traffic);
     m_sessions.insert(session);
+    m_open_connections = m_sessions.size();
     asio::post(executor, [self = shared_from_this(), session] {
       session->Start([self, session] {
         asio::post(self->m_acceptor.get_executor(),
-                   [self, session] { self->m_sessions.erase(session); });
+                   [self, session] { self->Forget(session); });
       });
     });
+    if (m_is_leaving) {
+      session->SayGoodbye();
+    }
+  }
+
+  void Forget(const std::shared_ptr<PeerSession>& session) {
+    m_sessions.erase(session);
+    m_open_connections = m_sessions.size();
   }
 
   asio::io_context& m_context;
   const Endpoint m_endpoint;
   const Hello m_self;
   const PeerService m_service;
+  const PeerTraffic m_traffic;
   asio::ip::tcp::acceptor m_acceptor;
   std::set<std::shared_ptr<PeerSession>> m_sessions;
+  bool m_is_leaving = false;
+  std::atomic<std::size_t> m_open_connections{0};
 };
 
 PeerServer::PeerServer(asio::io_context& context,
                        Endpoint endpoint,
                        Hello self,
-                       PeerService service)
+                       PeerService service,
+                       const PeerTraffic& traffic)
     : m_impl(std::make_shared<Impl>(context,
                                     std::move(endpoint),
                                     std::move(self),
-                                    std::move(service))) {}
+                                    std::move(service),
+                                    traffic)) {}
 
 PeerServer::~PeerServer() {
   Stop();
@@ -207,6 +245,14 @@
   return m_impl->Start();
 }
 
+void PeerServer::SayGoodbye() {
+  m_impl->SayGoodbye();
+}
+
+std::size_t PeerServer::OpenConnections() const {
+  return m_impl->OpenConnections();
+}
+
 void PeerServer::Stop() {
   m_impl->Stop();
 }
--- a/packages/testing/tests/operators_test.cpp
+++ b/packages/testing/tests/operators_test.cpp
@@ -2,6 +2,7 @@
 #include <fstream>
 
 #include "testing/test_fleet.h"
+#include "tool/uuid.h"
 
 namespace jackdawrack {
 namespace {
@@ -76,6 +77,15 @@
     for (const char* step : {"planned", "sent", "answered", "finished"}) {
       REQUIRE(found.m_output.find(step) != std::string::npos);
     }
+    const std::string key = MakeUuidV7(SteadyClock().WallNowMs());
+    const auto booking =
+        ParseJsonObject(fleet.Book("east-1", "lens-1", key, "a").m_body);
+    REQUIRE(booking.has_value());
+    const ToolResult run = RunTool(
+        fleet, {"explain", JsonText(*booking, "request"), "--at", east});
+    INFO(run.m_output);
+    REQUIRE(run.m_output.find(JsonText(*booking, "outcome")) !=
+            std::string::npos);
     const ToolResult missing =
         RunTool(fleet, {"explain", "1-1", "--at", east, "--at", south});
     REQUIRE(missing.m_exit_code == 1);
--- a/packages/tool/src/explain_command.cpp
+++ b/packages/tool/src/explain_command.cpp
@@ -36,6 +36,10 @@
   if (name == "finished") {
     return fmt::format("{} ranges missing", count);
   }
+  const std::string note = JsonText(step, "note");
+  if (!note.empty()) {
+    return note;
+  }
   const std::string reason = JsonText(step, "reason");
   if (name == "answered" && reason != "none") {
     return fmt::format("{} ranges missed: {}", count, reason);
