--- a/packages/model/include/model/instance_settings.h
+++ b/packages/model/include/model/instance_settings.h
@@ -6,6 +6,7 @@
 #include "core/ini.h"
 #include "model/endpoint.h"
 #include "model/ids.h"
+#include "model/query_policy_settings.h"
 
 namespace jackdawrack {
 
@@ -28,6 +29,8 @@
   /// Time that a planned stop goes on accepting, so that the balancer notices.
   std::uint32_t m_balancer_lag_ms = 1000;
   std::size_t m_max_body_bytes = 1 << 20;
+  /// Switches of the query mechanisms.
+  QueryPolicySettings m_query_policy;
   /// For measurement only: queries go to the own domain's upstreams over this
   /// instance's own pools instead of their owners.
   bool m_direct_baseline = false;
--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -35,6 +35,8 @@
   bool m_proxied = false;
   /// Seed of the proxy's random draws.
   std::uint64_t m_proxy_seed = 1;
+  /// Lines of [policy] of every instance.
+  std::string m_policy;
 };
 
 /// A fleet of real processes on loopback: platform and upstream stand-ins and
@@ -104,7 +106,8 @@
   HttpReply Book(const std::string& instance,
                  const std::string& key,
                  const std::string& idempotency_key,
-                 const std::string& body);
+                 const std::string& body,
+                 bool is_resend = false);
   /// GET on the operators' listener.
   HttpReply Operator(const std::string& instance,
                      const std::string& target,
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -304,7 +304,8 @@
 HttpReply TestFleet::Book(const std::string& instance,
                           const std::string& key,
                           const std::string& idempotency_key,
-                          const std::string& body) {
+                          const std::string& body,
+                          bool is_resend) {
   HttpRequest request =
       MakePost("/v1/request",
                boost::json::serialize(boost::json::object{{"customer", "acme"},
@@ -312,6 +313,9 @@
                                                           {"key", key},
                                                           {"body", body}}));
   request.m_headers.push_back({"Idempotency-Key", idempotency_key});
+  if (is_resend) {
+    request.m_headers.push_back({"Idempotency-Resend", "true"});
+  }
   return CallOrZero(Callers(instance), std::move(request), kCallTimeout);
 }
 
@@ -422,14 +426,15 @@
           : "";
   WriteFile(
       fmt::format("{}/{}.ini", m_folder, member.m_name),
-      fmt::format("[instance]\nid = {}\nfailure_domain = {}\n\n[listen]\n"
-                  "callers = {}\npeers = {}\noperators = {}\n{}\n[platform]\n"
-                  "addresses = {}\n\n[stop]\nbalancer_lag_ms = {}\n",
-                  member.m_name, member.m_domain, At(place).ToText(),
-                  At(static_cast<std::uint16_t>(place + 1)).ToText(),
-                  At(static_cast<std::uint16_t>(place + 2)).ToText(), outbound,
-                  Published(PlatformEndpoint()).ToText(),
-                  m_settings.m_balancer_lag_ms));
+      fmt::format(
+          "[instance]\nid = {}\nfailure_domain = {}\n\n[listen]\n"
+          "callers = {}\npeers = {}\noperators = {}\n{}\n[platform]\n"
+          "addresses = {}\n\n[stop]\nbalancer_lag_ms = {}\n\n[policy]\n{}",
+          member.m_name, member.m_domain, At(place).ToText(),
+          At(static_cast<std::uint16_t>(place + 1)).ToText(),
+          At(static_cast<std::uint16_t>(place + 2)).ToText(), outbound,
+          Published(PlatformEndpoint()).ToText(), m_settings.m_balancer_lag_ms,
+          m_settings.m_policy));
 }
 
 std::string TestFleet::ContractText(std::uint64_t version) const {
