--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -39,7 +39,7 @@
   answer.m_index_version = query.m_index_version;
   answer.m_is_last = true;
   for (const KeyRange& range : query.m_ranges) {
-    answer.m_ranges.push_back(RangeAnswer{range, reason, {}});
+    answer.m_ranges.push_back(RangeAnswer{range, reason, {}, {}});
   }
   return answer;
 }
@@ -57,9 +57,13 @@
 
 class PeerClient::Impl final : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& context, Instance target, Hello self)
+  Impl(asio::io_context& context,
+       Instance target,
+       Hello self,
+       const PeerTraffic& traffic)
       : m_target(std::move(target)),
         m_self(std::move(self)),
+        m_traffic(traffic),
         m_strand(asio::make_strand(context)),
         m_timer(m_strand),
         m_connect_timer(m_strand) {}
@@ -252,7 +256,8 @@
       FailAll();
       return;
     }
-    m_connection = std::make_shared<PeerConnection>(std::move(socket));
+    m_connection =
+        std::make_shared<PeerConnection>(std::move(socket), m_traffic);
     m_connection->Start(
         [self = shared_from_this()](PeerFrame frame) {
           std::visit([&](auto& message) { self->On(std::move(message)); },
@@ -482,6 +487,7 @@
 
   const Instance m_target;
   const Hello m_self;
+  const PeerTraffic m_traffic;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_timer;
   asio::steady_timer m_connect_timer;
@@ -492,11 +498,11 @@
   bool m_ready = false;
   bool m_closed = false;
   TimePoint m_no_connect_before{};
-  bool m_is_leaving = false;
   TimePoint m_last_call_at{};
   TimePoint m_last_request_at{};
   /// True from a close for want of calls until the next connection is ready.
   bool m_was_idle = false;
+  bool m_is_leaving = false;
   std::uint64_t m_heartbeats_sent = 0;
   std::uint64_t m_heartbeats_answered = 0;
 
@@ -514,10 +520,14 @@
   std::uint64_t m_last_lease_call = 0;
 };
 
-PeerClient::PeerClient(asio::io_context& context, Instance target, Hello self)
-    : m_impl(
-          std::make_shared<Impl>(context, std::move(target), std::move(self))) {
-}
+PeerClient::PeerClient(asio::io_context& context,
+                       Instance target,
+                       Hello self,
+                       const PeerTraffic& traffic)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(target),
+                                    std::move(self),
+                                    traffic)) {}
 
 PeerClient::~PeerClient() {
   m_impl->Close();
--- a/packages/testing/include/testing/booking_load.h
+++ b/packages/testing/include/testing/booking_load.h
@@ -19,6 +19,9 @@
   /// Outcome of the last answer; empty if none came.
   std::string m_last_outcome;
   std::string m_last_reason;
+  /// The first call of the key: where it went and its outcome.
+  std::string m_first_instance;
+  std::string m_first_outcome;
   TimePoint m_first_sent{};
   TimePoint m_answered{};
   /// True when two callers sent the key at once.
@@ -72,10 +75,12 @@
 [[nodiscard]] BookingVerdict CheckBookings(
     const std::vector<BookingRecord>& records);
 
-/// Time from `fault` until the last booking was sent that did not run at once;
-/// zero if none failed.
+/// Time from `fault` until the last booking was sent whose first call did not
+/// run it; zero if there is none. Calls to `victim` and doubled keys, whose
+/// second call is rightly told that the first one runs, are left out.
 [[nodiscard]] Milliseconds RefusalTime(
     const std::vector<BookingRecord>& records,
-    TimePoint fault);
+    TimePoint fault,
+    const std::string& victim);
 
 }  // namespace jackdawrack
