--- a/packages/testing/src/booking_load.cpp
+++ b/packages/testing/src/booking_load.cpp
@@ -103,11 +103,14 @@
     });
   }
   for (int sent = 0; sent < kMaxSends; ++sent) {
-    const HttpReply reply = m_fleet.Book(choose(), lens, record.m_key, "body");
+    const std::string instance = choose();
+    const HttpReply reply = m_fleet.Book(instance, lens, record.m_key, "body");
     const auto answer = ParseJsonObject(reply.m_body);
     record.m_last_outcome = answer ? JsonText(*answer, "outcome") : "";
     record.m_last_reason = answer ? JsonText(*answer, "reason") : reply.m_body;
     if (sent == 0) {
+      record.m_first_instance = instance;
+      record.m_first_outcome = record.m_last_outcome;
       record.m_answered = clock.Now();
     }
     const bool is_done =
@@ -143,10 +146,14 @@
 }
 
 Milliseconds RefusalTime(const std::vector<BookingRecord>& records,
-                         TimePoint fault) {
+                         TimePoint fault,
+                         const std::string& victim) {
   Milliseconds longest{0};
   for (const BookingRecord& record : records) {
-    if (record.m_last_outcome != "ran" && record.m_first_sent > fault) {
+    const bool is_counted =
+        !record.m_is_doubled && record.m_first_instance != victim;
+    if (is_counted && record.m_first_outcome != "ran" &&
+        record.m_first_sent > fault) {
       longest = std::max(longest, std::chrono::duration_cast<Milliseconds>(
                                       record.m_first_sent - fault));
     }
