--- a/packages/testing/include/testing/test_fleet.h
+++ b/packages/testing/include/testing/test_fleet.h
@@ -87,7 +87,8 @@
 
   // Publishing
 
-  /// Writes a value into the stand-in platform.
+  /// Writes a value into the stand-in platform; waits for one that was only
+  /// just started, and throws if it does not answer.
   void Publish(const std::string& name, const std::string& text);
   /// The map as last published; change it and call `PublishMap`.
   [[nodiscard]] TestMap& Map() { return m_map; }
@@ -155,6 +156,7 @@
   [[nodiscard]] std::string MapText() const;
   void WriteInstanceSettings(const Member& member) const;
   [[nodiscard]] std::string InstancesText() const;
+  [[nodiscard]] std::string ProgramPath(const std::string& program) const;
   [[nodiscard]] std::string LogPath(const std::string& name) const;
 
   const TestFleetSettings m_settings;
--- a/packages/testing/src/test_fleet.cpp
+++ b/packages/testing/src/test_fleet.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "core/check.h"
+#include "fleet_http.h"
 
 namespace jackdawrack {
 namespace {
@@ -17,15 +18,7 @@
 constexpr std::uint16_t kFirstInstancePlace = 2;
 constexpr std::uint16_t kPlacesPerInstance = 3;
 constexpr std::uint16_t kFirstUpstreamPlace = 150;
-/// The proxy listens for the endpoint at place P at place P + kProxyOffset.
-constexpr std::uint16_t kProxyOffset = 300;
-constexpr std::uint16_t kProxyControlPlace = 300;
-constexpr int kFirstDomainNet = 2;
-constexpr Milliseconds kCallTimeout{10'000};
-constexpr Milliseconds kControlTimeout{5'000};
 constexpr int kReadyPollMs = 10;
-constexpr int kControlTries = 50;
-constexpr Milliseconds kControlPause{100};
 
 void WriteFile(const std::string& path, const std::string& text) {
   std::ofstream(path) << text;
@@ -40,49 +33,6 @@
   return last;
 }
 
-std::string BinPath(const TestFleetSettings& settings,
-                    const std::string& program) {
-  const std::string folder = settings.m_bin_folder.empty()
-                                 ? JACKDAWRACK_BIN_DIR
-                                 : settings.m_bin_folder;
-  return folder + "/" + program;
-}
-
-HttpRequest MakePost(const std::string& target, std::string body) {
-  HttpRequest request;
-  request.m_method = "POST";
-  request.m_target = target;
-  request.m_body = std::move(body);
-  return request;
-}
-
-HttpReply CallOrZero(const Endpoint& endpoint,
-                     HttpRequest request,
-                     Milliseconds timeout) {
-  const auto reply = CallHttp(endpoint, std::move(request), timeout);
-  if (!reply) {
-    HttpReply none;
-    none.m_status = 0;
-    none.m_body = reply.error().m_message;
-    return none;
-  }
-  return reply.assume_value();
-}
-
-// Calls a stand-in's control interface, again while its connections are all
-// taken; throws if it stays so.
-HttpReply CallControl(const Endpoint& endpoint, const HttpRequest& request) {
-  for (int attempt = 0; attempt < kControlTries; ++attempt) {
-    HttpReply reply = CallOrZero(endpoint, request, kControlTimeout);
-    if (reply.m_status == 200) {
-      return reply;
-    }
-    std::this_thread::sleep_for(kControlPause);
-  }
-  throw std::runtime_error("no answer from the control of " +
-                           endpoint.ToText());
-}
-
 }  // namespace
 
 TestFleet::TestFleet(TestFleetSettings settings)
@@ -123,7 +73,7 @@
   StartPlatform();
   WriteFile(m_folder + "/map.ini", m_map.ToText());
   m_upstreams = std::make_unique<ChildProcess>(
-      BinPath(m_settings, "standin_upstreams"),
+      ProgramPath("standin_upstreams"),
       std::vector<std::string>{"--map", m_folder + "/map.ini", "--service-ms",
                                std::to_string(m_settings.m_service_ms)},
       LogPath("upstreams"));
@@ -138,75 +88,6 @@
   }
 }
 
-void TestFleet::StartProxy() {
-  m_proxy = std::make_unique<ChildProcess>(
-      BinPath(m_settings, "standin_proxy"),
-      std::vector<std::string>{"--control", At(kProxyControlPlace).ToText(),
-                               "--seed",
-                               std::to_string(m_settings.m_proxy_seed)},
-      LogPath("proxy"));
-  std::vector<ProxyLink> links;
-  const auto add = [&](const char* kind, const std::string& name,
-                       const std::string& domain, const Endpoint& target) {
-    links.push_back(ProxyLink{name, kind, domain, Published(target), target});
-  };
-  add("platform", "platform", "", PlatformEndpoint());
-  for (const Member& member : m_members) {
-    add("peer", member.m_name, member.m_domain, Peers(member.m_name));
-  }
-  for (const Upstream& upstream : m_map.m_upstreams) {
-    add("upstream", upstream.m_id.Text(), upstream.m_domain.Text(),
-        upstream.m_endpoint);
-  }
-  m_proxy_control = std::make_unique<ProxyControl>(At(kProxyControlPlace));
-  m_proxy_control->AddLinks(links);
-}
-
-void TestFleet::CutDomains(const std::string& a, const std::string& b) {
-  FaultRule there;
-  there.m_match = ProxyMatch{SourceOf(a), "", "", b};
-  FaultRule back;
-  back.m_match = ProxyMatch{SourceOf(b), "", "", a};
-  m_proxy_control->Add({there, back});
-}
-
-void TestFleet::CutPlatform(const std::string& domain) {
-  FaultRule rule;
-  rule.m_match = ProxyMatch{SourceOf(domain), "", "platform", ""};
-  m_proxy_control->Add({rule});
-}
-
-void TestFleet::SilencePeers() {
-  m_proxy_control->Silence(ProxyMatch{"", "", "peer", ""});
-}
-
-void TestFleet::SilenceUpstreams() {
-  m_proxy_control->Silence(ProxyMatch{"", "", "upstream", ""});
-}
-
-std::string TestFleet::SourceOf(const std::string& domain) const {
-  const auto& domains = m_settings.m_domains;
-  const auto found = std::find(domains.begin(), domains.end(), domain);
-  JR_CHECK(found != domains.end());
-  return fmt::format("127.0.{}.1", kFirstDomainNet + (found - domains.begin()));
-}
-
-Endpoint TestFleet::Published(const Endpoint& direct) const {
-  Endpoint published = direct;
-  if (m_settings.m_proxied) {
-    published.m_port += kProxyOffset;
-  }
-  return published;
-}
-
-std::string TestFleet::MapText() const {
-  TestMap published = m_map;
-  for (Upstream& upstream : published.m_upstreams) {
-    upstream.m_endpoint = Published(upstream.m_endpoint);
-  }
-  return published.ToText();
-}
-
 void TestFleet::StartPlatform() {
   const std::string values = m_folder + "/values";
   std::filesystem::create_directories(values + "/contracts");
@@ -215,7 +96,7 @@
   WriteFile(values + "/map/data.ini", MapText());
   WriteFile(values + "/instances.ini", InstancesText());
   m_platform = std::make_unique<ChildProcess>(
-      BinPath(m_settings, "standin_platform"),
+      ProgramPath("standin_platform"),
       std::vector<std::string>{"--listen", PlatformEndpoint().ToText(),
                                "--values", values},
       LogPath("platform"));
@@ -225,7 +106,7 @@
   for (Member& member : m_members) {
     if (member.m_name == name) {
       member.m_process = std::make_unique<ChildProcess>(
-          BinPath(m_settings, "jackdawrackd"),
+          ProgramPath("jackdawrackd"),
           std::vector<std::string>{"--settings",
                                    m_folder + "/" + name + ".ini"},
           LogPath(name));
@@ -268,7 +149,7 @@
 void TestFleet::Publish(const std::string& name, const std::string& text) {
   HttpRequest request = MakePost("/v1/values/" + name, text);
   request.m_method = "PUT";
-  (void)CallHttp(PlatformEndpoint(), std::move(request), kControlTimeout);
+  (void)CallControl(PlatformEndpoint(), request);
 }
 
 void TestFleet::PublishMap() {
@@ -291,108 +172,6 @@
   }
 }
 
-HttpReply TestFleet::Query(const std::string& instance,
-                           const std::string& body) {
-  return CallOrZero(
-      Callers(instance),
-      MakePost("/v1/query",
-               boost::json::serialize(boost::json::object{
-                   {"customer", "acme"}, {"kind", "look"}, {"body", body}})),
-      kCallTimeout);
-}
-
-HttpReply TestFleet::Book(const std::string& instance,
-                          const std::string& key,
-                          const std::string& idempotency_key,
-                          const std::string& body,
-                          bool is_resend) {
-  HttpRequest request =
-      MakePost("/v1/request",
-               boost::json::serialize(boost::json::object{{"customer", "acme"},
-                                                          {"kind", "book"},
-                                                          {"key", key},
-                                                          {"body", body}}));
-  request.m_headers.push_back({"Idempotency-Key", idempotency_key});
-  if (is_resend) {
-    request.m_headers.push_back({"Idempotency-Resend", "true"});
-  }
-  return CallOrZero(Callers(instance), std::move(request), kCallTimeout);
-}
-
-HttpReply TestFleet::Operator(const std::string& instance,
-                              const std::string& target,
-                              Milliseconds timeout) {
-  HttpRequest request;
-  request.m_target = target;
-  return CallOrZero(
-      At(static_cast<std::uint16_t>(Find(instance).m_first_place + 2)),
-      std::move(request), timeout);
-}
-
-void TestFleet::SetUpstream(const std::string& upstream,
-                            const std::string& json) {
-  (void)CallControl(m_map.Find(upstream).m_endpoint,
-                    MakePost("/control/set", json));
-}
-
-boost::json::object TestFleet::UpstreamCounts(const std::string& upstream) {
-  HttpRequest request;
-  request.m_target = "/control/counts";
-  const HttpReply reply = CallControl(m_map.Find(upstream).m_endpoint, request);
-  return ParseJsonObject(reply.m_body).value_or(boost::json::object());
-}
-
-std::uint64_t TestFleet::Executions(const std::string& idempotency_key) {
-  std::uint64_t count = 0;
-  for (const Upstream& upstream : m_map.m_upstreams) {
-    const boost::json::object counts = UpstreamCounts(upstream.m_id.Text());
-    if (const auto* executions = counts.if_contains("executions")) {
-      count += JsonNumber(executions->as_object(), idempotency_key.c_str());
-    }
-  }
-  return count;
-}
-
-ExecutionCounts TestFleet::AllExecutions() {
-  ExecutionCounts total;
-  for (const Upstream& upstream : m_map.m_upstreams) {
-    const boost::json::object counts = UpstreamCounts(upstream.m_id.Text());
-    const auto* executions = counts.if_contains("executions");
-    if (executions == nullptr) {
-      throw std::runtime_error("no counts of " + upstream.m_id.Text());
-    }
-    for (const auto& [key, count] : executions->as_object()) {
-      total[std::string(key)] += count.to_number<std::uint64_t>();
-    }
-  }
-  return total;
-}
-
-std::uint64_t TestFleet::ContractVersion(const std::string& instance,
-                                         Milliseconds timeout) {
-  return ContractNumber(instance, "version", timeout);
-}
-
-std::uint64_t TestFleet::ContractDeadlineMs(const std::string& instance) {
-  return ContractNumber(instance, "deadline_ms", kControlTimeout);
-}
-
-std::uint64_t TestFleet::ContractNumber(const std::string& instance,
-                                        const char* name,
-                                        Milliseconds timeout) {
-  const auto reply =
-      ParseJsonObject(Operator(instance, "/v1/contracts", timeout).m_body);
-  if (!reply || !reply->contains("contracts")) {
-    return 0;
-  }
-  for (const auto& contract : reply->at("contracts").as_array()) {
-    if (JsonText(contract.as_object(), "customer") == "acme") {
-      return JsonNumber(contract.as_object(), name);
-    }
-  }
-  return 0;
-}
-
 Endpoint TestFleet::Callers(const std::string& instance) const {
   return At(Find(instance).m_first_place);
 }
@@ -459,6 +238,13 @@
   return text;
 }
 
+std::string TestFleet::ProgramPath(const std::string& program) const {
+  const std::string folder = m_settings.m_bin_folder.empty()
+                                 ? JACKDAWRACK_BIN_DIR
+                                 : m_settings.m_bin_folder;
+  return folder + "/" + program;
+}
+
 std::string TestFleet::LogPath(const std::string& name) const {
   return m_folder + "/" + name + ".log";
 }
