--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -14,8 +14,8 @@
 /// Rounds in which missing ranges are asked for again.
 constexpr std::uint32_t kMaxReplanRounds = 4;
 
-/// Wait before the second and each later round, so that a changing map can
-/// arrive.
+/// Wait before the second round, doubled for each later one, so that a changing
+/// map can arrive.
 constexpr Milliseconds kReplanDelay{25};
 
 /// Kept back from the deadline to send the answer.
@@ -320,7 +320,7 @@
     return;
   }
   m_is_replan_scheduled = true;
-  m_replan_timer.expires_after(kReplanDelay);
+  m_replan_timer.expires_after(kReplanDelay * (1 << (m_replan_rounds - 2)));
   m_replan_timer.async_wait([self = shared_from_this(), again](auto error) {
     self->m_is_replan_scheduled = false;
     if (!error && !self->m_is_finished) {
--- a/packages/model/include/model/query_policy_settings.h
+++ b/packages/model/include/model/query_policy_settings.h
@@ -20,7 +20,7 @@
   /// Bounds retries of work that may have run by the contract's share.
   bool m_retry_budget = true;
   /// Refuses work at once that cannot finish before its deadline.
-  bool m_early_refusal = true;
+  bool m_early_refusal = false;
   /// Counts a timed-out request as running for the learned service time.
   bool m_held_slots = true;
   /// Gives up connections whose reply is late while a newer one came.
--- a/packages/model/src/query_policy_settings.cpp
+++ b/packages/model/src/query_policy_settings.cpp
@@ -14,7 +14,7 @@
   settings.m_drain_requeue = reader.Flag("drain_requeue", true);
   settings.m_hedging = reader.Flag("hedging", true);
   settings.m_retry_budget = reader.Flag("retry_budget", true);
-  settings.m_early_refusal = reader.Flag("early_refusal", true);
+  settings.m_early_refusal = reader.Flag("early_refusal", false);
   settings.m_held_slots = reader.Flag("held_slots", true);
   settings.m_ejection = reader.Flag("ejection", true);
   settings.m_silent_abandon = reader.Flag("silent_abandon", true);
