--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -24,11 +24,6 @@
 /// Least time left in which asking again can still help.
 constexpr Milliseconds kLeastRetryTime{10};
 
-/// Up to so many late ranges of one call are hedged at the usual delay, more of
-/// them only after this multiple of it.
-constexpr std::size_t kFewLateRanges = 2;
-constexpr int kPostponedHedgeFactor = 3;
-
 /// Transport time kept back from an owner, by where it is.
 constexpr Milliseconds kLocalHopReserve{1};
 constexpr Milliseconds kRemoteHopReserve{4};
@@ -173,6 +168,7 @@
     }
     m_open_calls.erase(call);
   }
+  HedgeElsewhere();
   if (!RestartOnOtherVersion()) {
     WithdrawCoveredCalls();
     ReplanIdleRanges();
@@ -195,6 +191,7 @@
                        const RangeAnswer& range) {
   m_tables.ReportVersions(m_spec.m_collection->Name(), range);
   if (range.m_reason != MissReason::kNone && call.m_is_hedge) {
+    m_refused_hedges.push_back(range);
     return;
   }
   if (range.m_reason != MissReason::kNone) {
@@ -335,104 +332,6 @@
   });
 }
 
-std::optional<TimePoint> QueryRun::HedgeDue(const OpenCall& call) const {
-  if (call.m_is_hedge || call.m_was_hedged) {
-    return std::nullopt;
-  }
-  const auto delay = m_tables.HedgeDelay(
-      *m_spec.m_contract, m_spec.m_collection->Name(), call.m_owner.m_domain);
-  if (!delay) {
-    return std::nullopt;
-  }
-  const int factor = call.m_is_hedge_postponed ? kPostponedHedgeFactor : 1;
-  return call.m_sent + *delay * factor;
-}
-
-void QueryRun::ScheduleHedge() {
-  std::optional<TimePoint> next;
-  for (const auto& [attempt, call] : m_open_calls) {
-    const auto due = HedgeDue(call);
-    if (due && (!next || *due < *next)) {
-      next = due;
-    }
-  }
-  if (!next) {
-    return;
-  }
-  m_hedge_timer.expires_at(*next);
-  m_hedge_timer.async_wait([self = shared_from_this()](auto error) {
-    if (!error && !self->m_is_finished) {
-      self->OnHedgeDue();
-    }
-  });
-}
-
-void QueryRun::OnHedgeDue() {
-  const TimePoint now = SteadyClock().Now();
-  std::vector<std::uint32_t> due;
-  for (const auto& [attempt, call] : m_open_calls) {
-    const auto hedge_due = HedgeDue(call);
-    if (hedge_due && *hedge_due <= now) {
-      due.push_back(attempt);
-    }
-  }
-  for (const std::uint32_t attempt : due) {
-    HedgeCall(attempt);
-  }
-  ScheduleHedge();
-}
-
-void QueryRun::HedgeCall(std::uint32_t attempt) {
-  OpenCall& call = m_open_calls.at(attempt);
-  const QueryPlan plan = Plan(call.m_unanswered.Ranges());
-
-  // Keep the budget for single late replicas if the whole call is late
-  std::size_t late = 0;
-  for (const OwnerShare& share : plan.m_shares) {
-    late += share.m_ranges.size();
-  }
-  if (late > kFewLateRanges && !call.m_is_hedge_postponed) {
-    call.m_is_hedge_postponed = true;
-    return;
-  }
-  call.m_was_hedged = true;
-  for (const OwnerShare& share : plan.m_shares) {
-    // Keep the ranges that another domain can answer within the budget
-    OwnerShare hedge{share.m_owner, {}};
-    for (const KeyRange& range : share.m_ranges) {
-      if (!m_tried.Contains(share.m_owner.m_domain, range) &&
-          m_tables.TakeHedge(*m_spec.m_contract)) {
-        hedge.m_ranges.push_back(range);
-      }
-    }
-    if (!hedge.m_ranges.empty()) {
-      SendShare(hedge, true);
-    }
-  }
-}
-
-void QueryRun::WithdrawCoveredCalls() {
-  for (auto call = m_open_calls.begin(); call != m_open_calls.end();) {
-    bool is_covered = true;
-    for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
-      is_covered = is_covered && m_merge.Covered().Covers(range);
-    }
-    if (!is_covered || call->second.m_unanswered.IsEmpty()) {
-      ++call;
-      continue;
-    }
-    for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
-      m_tables.RecordLate(m_spec.m_collection->Name(),
-                          ReplicaOf(call->second, range),
-                          SteadyClock().Now() - call->second.m_sent);
-    }
-    m_tables.CountCancel();
-    m_router.Cancel(call->second.m_owner,
-                    CallId{m_spec.m_request, call->first});
-    call = m_open_calls.erase(call);
-  }
-}
-
 void QueryRun::WithdrawOpenCalls() {
   const auto open = std::exchange(m_open_calls, {});
   for (const auto& [attempt, call] : open) {
@@ -457,6 +356,7 @@
   m_deadline_timer.cancel();
   m_replan_timer.cancel();
   m_hedge_timer.cancel();
+  RecordUnanswered();
   WithdrawOpenCalls();
 
   QueryAnswer answer;
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -90,7 +90,10 @@
   void ScheduleHedge();
   void OnHedgeDue();
   void HedgeCall(std::uint32_t attempt);
+  void HedgeElsewhere();
   void WithdrawCoveredCalls();
+  // Notes how long the replicas without an answer have taken so far.
+  void RecordUnanswered();
 
   // The end
   void WithdrawOpenCalls();
@@ -110,6 +113,7 @@
 
   // Answer
   QueryMerge m_merge;
+  std::vector<RangeAnswer> m_refused_hedges;
   bool m_is_finished = false;
 
   // Calls
--- a/packages/entry/src/query_tables.cpp
+++ b/packages/entry/src/query_tables.cpp
@@ -11,6 +11,9 @@
 /// rest is left for stragglers.
 constexpr double kUsualHedgePart = 0.5;
 constexpr double kLeastSamples = 50;
+/// Part of the deadline after which an answer is late while too little was seen
+/// to know better.
+constexpr int kUnlearnedDelayDivisor = 4;
 constexpr Milliseconds kLeastHedgeDelay{2};
 constexpr Milliseconds kEvaluationInterval{100};
 
@@ -120,14 +123,16 @@
     return std::nullopt;
   }
   const std::lock_guard lock(m_mutex);
+  const Duration unlearned =
+      Milliseconds(contract.DeadlineMs()) / kUnlearnedDelayDivisor;
   const auto found = m_latencies.find(Group{collection, domain});
   if (found == m_latencies.end()) {
-    return std::nullopt;
+    return unlearned;
   }
   const double quantile = 1 - contract.HedgeShare() * kUsualHedgePart;
   const auto delay = found->second.Quantile(quantile, kLeastSamples);
   if (!delay) {
-    return std::nullopt;
+    return unlearned;
   }
   return std::max<Duration>(*delay, kLeastHedgeDelay);
 }
@@ -135,7 +140,7 @@
 QueryTables::Budgets& QueryTables::BudgetsOf(const Contract& contract) {
   return m_budgets
       .try_emplace(contract.Name(),
-                   Budgets{ShareBudget(kHedgeBurst),
+                   Budgets{ShareBudget(kHedgeBurst, kHedgeBurst),
                            ShareBudget(kRetryBurst, kRetryBurst)})
       .first->second;
 }
--- a/packages/entry/src/query_tables.h
+++ b/packages/entry/src/query_tables.h
@@ -62,8 +62,8 @@
   /// Replicas that a new query avoids because they are slow or refuse.
   [[nodiscard]] ReplicaSet ReplicasToAvoid(const CollectionName& collection);
   /// Time after which an answer counts as late: the quantile that leaves half
-  /// of the contract's hedge share unused. Nothing while too little was seen or
-  /// hedging is off.
+  /// of the contract's hedge share unused, or a part of the deadline while too
+  /// little was seen. Nothing while hedging is off.
   [[nodiscard]] std::optional<Duration> HedgeDelay(
       const Contract& contract,
       const CollectionName& collection,
