--- a/packages/platform/include/platform/platform_client.h
+++ b/packages/config_service/include/config_service/config_service_client.h
@@ -13,29 +13,29 @@
 namespace jackdawrack {
 
 /// What went wrong between us and the configuration service.
-enum class PlatformErrc {
+enum class ConfigServiceErrc {
   kUnreachable,
   kMalformedReply,
 };
 
 template <typename T>
-using PlatformResult = Result<T, PlatformErrc>;
+using ConfigServiceResult = Result<T, ConfigServiceErrc>;
 
 /// The values that changed since a revision.
-struct PlatformChanges {
+struct ConfigServiceChanges {
   /// Revision up to which the changes are complete.
   std::uint64_t m_revision = 0;
   std::vector<PublishedValue> m_values;
 };
 
 /// Reads the configuration service over HTTP; it never writes.
-class PlatformClient final {
+class ConfigServiceClient final {
  public:
-  using ChangesHandler = std::function<void(PlatformResult<PlatformChanges>)>;
+  using ChangesHandler = std::function<void(ConfigServiceResult<ConfigServiceChanges>)>;
 
-  PlatformClient(boost::asio::io_context& context,
+  ConfigServiceClient(boost::asio::io_context& context,
                  std::vector<Endpoint> addresses);
-  ~PlatformClient();
+  ~ConfigServiceClient();
 
   /// Waits up to `wait` for changes after `revision`; one call at a time. A
   /// failed call makes the next one go to the next address.
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/config_service/src/config_service_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_client.h"
+#include "config_service/config_service_client.h"
 
 #include <fmt/format.h>
 
@@ -12,21 +12,21 @@
 constexpr Milliseconds kReplyMargin{1000};
 constexpr std::size_t kMaxReplyBytes = 64 << 20;
 
-PlatformResult<PlatformChanges> DecodeChanges(const HttpReply& reply) {
+ConfigServiceResult<ConfigServiceChanges> DecodeChanges(const HttpReply& reply) {
   const auto object = ParseJsonObject(reply.m_body);
   if (reply.m_status != 200 || !object) {
-    return MakeError(PlatformErrc::kMalformedReply,
+    return MakeError(ConfigServiceErrc::kMalformedReply,
                      fmt::format("status {}", reply.m_status));
   }
-  PlatformChanges changes;
+  ConfigServiceChanges changes;
   changes.m_revision = JsonNumber(*object, "revision");
   const auto* list = object->if_contains("changes");
   if (list == nullptr || !list->is_array()) {
-    return MakeError(PlatformErrc::kMalformedReply, "no list of changes");
+    return MakeError(ConfigServiceErrc::kMalformedReply, "no list of changes");
   }
   for (const auto& item : list->as_array()) {
     if (!item.is_object()) {
-      return MakeError(PlatformErrc::kMalformedReply, "a change is no object");
+      return MakeError(ConfigServiceErrc::kMalformedReply, "a change is no object");
     }
     changes.m_values.push_back(
         PublishedValue{JsonText(item.as_object(), "name"),
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-class PlatformClient::Impl final : public std::enable_shared_from_this<Impl> {
+class ConfigServiceClient::Impl final : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& context, std::vector<Endpoint> addresses)
       : m_context(context), m_addresses(std::move(addresses)) {
@@ -69,11 +69,11 @@
   [[nodiscard]] std::uint64_t BytesReceived() const { return m_bytes; }
 
  private:
-  PlatformResult<PlatformChanges> OnReply(NetResult<HttpReply> reply) {
+  ConfigServiceResult<ConfigServiceChanges> OnReply(NetResult<HttpReply> reply) {
     if (!reply) {
       m_client = nullptr;
       ++m_next_address;
-      return MakeError(PlatformErrc::kUnreachable, reply.error().m_message);
+      return MakeError(ConfigServiceErrc::kUnreachable, reply.error().m_message);
     }
     m_bytes += reply.assume_value().m_body.size();
     return DecodeChanges(reply.assume_value());
@@ -87,23 +87,23 @@
   std::atomic<std::uint64_t> m_bytes{0};
 };
 
-PlatformClient::PlatformClient(boost::asio::io_context& context,
+ConfigServiceClient::ConfigServiceClient(boost::asio::io_context& context,
                                std::vector<Endpoint> addresses)
     : m_impl(std::make_shared<Impl>(context, std::move(addresses))) {}
 
-PlatformClient::~PlatformClient() = default;
+ConfigServiceClient::~ConfigServiceClient() = default;
 
-void PlatformClient::Watch(std::uint64_t revision,
+void ConfigServiceClient::Watch(std::uint64_t revision,
                            Milliseconds wait,
                            ChangesHandler handler) {
   m_impl->Watch(revision, wait, std::move(handler));
 }
 
-std::uint64_t PlatformClient::CallCount() const {
+std::uint64_t ConfigServiceClient::CallCount() const {
   return m_impl->CallCount();
 }
 
-std::uint64_t PlatformClient::BytesReceived() const {
+std::uint64_t ConfigServiceClient::BytesReceived() const {
   return m_impl->BytesReceived();
 }
 
--- /dev/null
+++ b/packages/daemon/include/daemon/gateway_daemon.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "daemon/gateway_file_settings.h"
+#include "net/net_error.h"
+
+namespace jackdawrack {
+
+/// One instance that serves published routes: store, gateway, listeners, and
+/// its planned stop. Everything runs on the calling thread.
+class GatewayDaemon final {
+ public:
+  /// `settings_path` is read again on SIGHUP and when the file changes.
+  GatewayDaemon(GatewayFileSettings settings, std::string settings_path);
+  ~GatewayDaemon();
+
+  GatewayDaemon(const GatewayDaemon&) = delete;
+  GatewayDaemon& operator=(const GatewayDaemon&) = delete;
+
+  /// Binds the listeners; the error names an address.
+  NetResult<void> Start();
+
+  /// Serves until SIGTERM or SIGINT, then stops without cutting off a request
+  /// that ends within the grace time.
+  void RunUntilSignal();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -6,6 +6,8 @@
 
 #include "core/event.h"
 #include "daemon/daemon.h"
+#include "daemon/gateway_daemon.h"
+#include "platform/wire_names.h"
 
 namespace {
 
@@ -23,6 +25,55 @@
   return text.str();
 }
 
+// The exit code if the process ends after reading its settings.
+std::optional<int> Check(const std::string& path,
+                         const std::vector<jackdawrack::IniProblem>& problems,
+                         bool only_check) {
+  if (!problems.empty()) {
+    jackdawrack::LogEvent(jackdawrack::EventId::kSettingsRefused, "{}",
+                          jackdawrack::JoinProblems(problems));
+    return kExitBadSettings;
+  }
+  if (only_check) {
+    fmt::print("{}: ok\n", path);
+    return kExitOk;
+  }
+  return std::nullopt;
+}
+
+// Serves until told to stop.
+template <typename DaemonType>
+int Serve(DaemonType& daemon) {
+  const auto started = daemon.Start();
+  if (!started) {
+    fmt::print(stderr, "{}\n", started.error().m_message);
+    return kExitCannotStart;
+  }
+  daemon.RunUntilSignal();
+  return kExitOk;
+}
+
+bool IsForGateway(const std::string& path, const std::string& text) {
+  std::vector<jackdawrack::IniProblem> ignored;
+  return jackdawrack::GatewayFileSettings::IsMeant(
+      jackdawrack::IniDocument::Parse(path, text, ignored));
+}
+
+int RunGateway(const std::string& path,
+               const std::string& text,
+               bool only_check) {
+  std::vector<jackdawrack::IniProblem> problems;
+  const auto settings =
+      jackdawrack::GatewayFileSettings::Parse(path, text, problems);
+  if (const auto exit_code = Check(path, problems, only_check)) {
+    return *exit_code;
+  }
+  jackdawrack::ConfigureEvents(settings.m_id.Text(),
+                               jackdawrack::EventLevel::kInfo);
+  jackdawrack::GatewayDaemon daemon(settings, path);
+  return Serve(daemon);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -32,6 +83,7 @@
   std::string settings_path;
   bool only_check = false;
   app.add_option("--settings", settings_path, "INI file of this instance")
+      ->envname(jackdawrack::platform::kSettingsVariable)
       ->required();
   app.add_flag("--check", only_check, "check the settings and exit");
   app.set_version_flag("--version", JACKDAWRACK_VERSION);
@@ -47,27 +99,16 @@
   if (!text) {
     problems.push_back({settings_path, "", "", "cannot be read"});
   }
+  if (text && IsForGateway(settings_path, *text)) {
+    return RunGateway(settings_path, *text, only_check);
+  }
   const auto settings = jackdawrack::InstanceSettings::Parse(
       settings_path, text.value_or(""), problems);
-  if (!problems.empty()) {
-    jackdawrack::LogEvent(jackdawrack::EventId::kSettingsRefused, "{}",
-                          jackdawrack::JoinProblems(problems));
-    return kExitBadSettings;
+  if (const auto exit_code = Check(settings_path, problems, only_check)) {
+    return *exit_code;
   }
-  if (only_check) {
-    fmt::print("{}: ok\n", settings_path);
-    return kExitOk;
-  }
-
-  // Serve until told to stop
   jackdawrack::ConfigureEvents(settings.m_id.Text(),
                                jackdawrack::EventLevel::kInfo);
   jackdawrack::Daemon daemon(settings);
-  const auto started = daemon.Start();
-  if (!started) {
-    fmt::print(stderr, "{}\n", started.error().m_message);
-    return kExitCannotStart;
-  }
-  daemon.RunUntilSignal();
-  return kExitOk;
+  return Serve(daemon);
 }
--- /dev/null
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -0,0 +1,281 @@
+#include "daemon/gateway_daemon.h"
+
+#include <sys/stat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "core/event.h"
+#include "core/metrics.h"
+#include "gateway/feed_reader.h"
+#include "gateway/gateway.h"
+#include "net/http_server.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr Milliseconds kHousekeepingPeriod{250};
+
+/// Housekeeping turns between two looks at the settings file.
+constexpr unsigned kSettingsCheckTurns = 8;
+
+/// Time for which connections still arrive after readiness has ended: the
+/// balancer asks once a second and acts on the second miss.
+constexpr Milliseconds kBalancerLag{2'600};
+
+constexpr Milliseconds kStopPoll{20};
+
+/// Kept before the process is killed, to end by itself.
+constexpr Milliseconds kExitMargin{400};
+
+constexpr unsigned kStatusNotReady = 503;
+constexpr unsigned kStatusNotFound = 404;
+
+WireHeaders PlatformHeaders() {
+  WireHeaders headers;
+  headers.m_request_id = platform::kRequestIdHeader;
+  headers.m_deadline = platform::kDeadlineHeader;
+  headers.m_expected_upstream = platform::kExpectedUpstreamHeader;
+  headers.m_signature = platform::kSignatureHeader;
+  headers.m_not_run = platform::kNotRunHeader;
+  headers.m_part_signatures = platform::kPartSignaturesHeader;
+  headers.m_missing_parts = platform::kMissingPartsHeader;
+  return headers;
+}
+
+GatewaySettings MakeGatewaySettings(const GatewayFileSettings& settings) {
+  GatewaySettings gateway;
+  gateway.m_instance = settings.m_id;
+  gateway.m_domain = settings.m_domain;
+  gateway.m_callers = settings.m_callers;
+  gateway.m_headers = PlatformHeaders();
+  gateway.m_retry_budget = settings.m_retry_budget;
+  return gateway;
+}
+
+FeedSettings MakeFeedSettings(const GatewayFileSettings& settings) {
+  FeedSettings feed;
+  feed.m_watch_time = std::max(Milliseconds(1'000),
+                               settings.m_stable_time - Milliseconds(1'000));
+  return feed;
+}
+
+HttpServerSettings MakeServerSettings(const Endpoint& endpoint) {
+  HttpServerSettings server;
+  server.m_endpoint = endpoint;
+  return server;
+}
+
+// Size and time of change of a file; both zero if it cannot be read.
+struct FileMark {
+  std::int64_t m_changed_ns = 0;
+  std::int64_t m_size = 0;
+
+  static FileMark Of(const std::string& path) {
+    struct stat info {};
+    if (stat(path.c_str(), &info) != 0) {
+      return {};
+    }
+    return FileMark{info.st_mtim.tv_sec * 1'000'000'000 + info.st_mtim.tv_nsec,
+                    info.st_size};
+  }
+
+  friend bool operator==(const FileMark&, const FileMark&) = default;
+};
+
+}  // namespace
+
+class GatewayDaemon::Impl final {
+ public:
+  Impl(GatewayFileSettings settings, std::string settings_path)
+      : m_settings(std::move(settings)),
+        m_settings_path(std::move(settings_path)),
+        m_settings_mark(FileMark::Of(m_settings_path)),
+        m_context(1),
+        m_store(m_context, m_settings.m_store),
+        m_feed(m_context, m_store, m_state, MakeFeedSettings(m_settings)),
+        m_gateway(m_context, MakeGatewaySettings(m_settings), m_state),
+        m_readiness(
+            m_context, MakeServerSettings(m_settings.m_readiness),
+            [this](const HttpRequest& request, const HttpServer::Reply& reply) {
+              reply(AnswerReadiness(request));
+            }),
+        m_operators(
+            m_context, MakeServerSettings(m_settings.m_operators),
+            [this](const HttpRequest&, const HttpServer::Reply& reply) {
+              reply(AnswerMetrics());
+            }),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+        m_housekeeping(m_context),
+        m_stop_timer(m_context) {}
+
+  NetResult<void> Start() {
+    m_state.OnChange([this] { OnPublished(); });
+    for (auto start :
+         {m_readiness.Start(), m_operators.Start(), m_gateway.Start()}) {
+      if (!start) {
+        return start;
+      }
+    }
+    m_feed.Start();
+    WaitForSignal();
+    ScheduleHousekeeping();
+    LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
+             m_settings.m_id.Text(), m_settings.m_domain.Text(),
+             m_settings.m_callers.ToText());
+    return boost::outcome_v2::success();
+  }
+
+  void Run() {
+    m_context.run();
+    LogEvent(EventId::kProcessStopped, "running={}",
+             m_gateway.CallerConnections());
+  }
+
+ private:
+  void OnPublished() {
+    m_gateway.FollowPublished();
+    const bool is_ready = m_state.IsComplete() && !m_is_stopping;
+    if (is_ready != m_is_ready) {
+      m_is_ready = is_ready;
+      LogEvent(EventId::kReadinessChanged, "ready={} version={} replicas={}",
+               is_ready, m_state.Table() ? m_state.Table()->Version() : 0,
+               m_state.Directory().Size());
+    }
+  }
+
+  [[nodiscard]] HttpReply AnswerReadiness(const HttpRequest& request) const {
+    HttpReply reply;
+    if (request.m_target != platform::kReadinessPath) {
+      reply.m_status = kStatusNotFound;
+    } else if (!m_is_ready || m_is_stopping) {
+      reply.m_status = kStatusNotReady;
+    }
+    return reply;
+  }
+
+  HttpReply AnswerMetrics() {
+    HttpReply reply;
+    reply.m_content_type = "text/plain; version=0.0.4";
+    reply.m_body = m_metrics.ToText();
+    return reply;
+  }
+
+  void WaitForSignal() {
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        ReloadSettings();
+      } else if (!m_is_stopping) {
+        BeginStop();
+      }
+      WaitForSignal();
+    });
+  }
+
+  // Checks the settings file; what is in force stays on any problem.
+  void ReloadSettings() {
+    std::ifstream stream(m_settings_path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    m_settings_mark = FileMark::Of(m_settings_path);
+    std::vector<IniProblem> problems;
+    const auto settings =
+        GatewayFileSettings::Parse(m_settings_path, text.str(), problems);
+    if (!stream || !problems.empty()) {
+      LogEvent(EventId::kSettingsRefused, "kept=previous problems=\"{}\"",
+               JoinProblems(problems));
+      return;
+    }
+    LogEvent(EventId::kSettingsReloaded, "changed={}", settings != m_settings);
+  }
+
+  void ScheduleHousekeeping() {
+    m_housekeeping.expires_after(kHousekeepingPeriod);
+    m_housekeeping.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        KeepHouse();
+        ScheduleHousekeeping();
+      }
+    });
+  }
+
+  void KeepHouse() {
+    m_state.DropLapsed(BootClock().Now());
+    if (++m_turn % kSettingsCheckTurns == 0 &&
+        FileMark::Of(m_settings_path) != m_settings_mark) {
+      ReloadSettings();
+    }
+  }
+
+  void BeginStop() {
+    m_is_stopping = true;
+    m_stop_began = BootClock().Now();
+    LogEvent(EventId::kProcessStopping, "connections={}",
+             m_gateway.CallerConnections());
+    m_gateway.EndConnections();
+    ContinueStop();
+  }
+
+  void ContinueStop() {
+    const Duration since = BootClock().Now() - m_stop_began;
+    if (since >= kBalancerLag) {
+      m_gateway.StopAccepting();
+      m_gateway.CloseIdle();
+      if (m_gateway.CallerConnections() == 0 ||
+          since >= m_settings.m_grace - kExitMargin) {
+        m_context.stop();
+        return;
+      }
+    }
+    m_stop_timer.expires_after(kStopPoll);
+    m_stop_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        ContinueStop();
+      }
+    });
+  }
+
+  const GatewayFileSettings m_settings;
+  const std::string m_settings_path;
+  FileMark m_settings_mark;
+  boost::asio::io_context m_context;
+  MetricsRegistry m_metrics;
+  PublishedState m_state;
+  platform::StoreClient m_store;
+  FeedReader<platform::StoreClient> m_feed;
+  Gateway m_gateway;
+  HttpServer m_readiness;
+  HttpServer m_operators;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_housekeeping;
+  boost::asio::steady_timer m_stop_timer;
+  unsigned m_turn = 0;
+  bool m_is_ready = false;
+  bool m_is_stopping = false;
+  TimePoint m_stop_began{};
+};
+
+GatewayDaemon::GatewayDaemon(GatewayFileSettings settings,
+                             std::string settings_path)
+    : m_impl(std::make_unique<Impl>(std::move(settings),
+                                    std::move(settings_path))) {}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+NetResult<void> GatewayDaemon::Start() {
+  return m_impl->Start();
+}
+
+void GatewayDaemon::RunUntilSignal() {
+  m_impl->Run();
+}
+
+}  // namespace jackdawrack
--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -11,7 +11,7 @@
 #include "core/random.h"
 #include "fleet/control_codec.h"
 #include "fleet/control_server.h"
-#include "platform/platform_client.h"
+#include "config_service/config_service_client.h"
 #include "policy/control_policy.h"
 
 namespace jackdawrack {
@@ -196,14 +196,14 @@
     m_metrics.m_platform_calls.Add();
     m_platform.Watch(
         read->m_after, read->m_wait,
-        [self = shared_from_this()](PlatformResult<PlatformChanges> changes) {
+        [self = shared_from_this()](ConfigServiceResult<ConfigServiceChanges> changes) {
           asio::post(self->m_strand, [self, changes = std::move(changes)] {
             self->OnPlatform(changes);
           });
         });
   }
 
-  void OnPlatform(const PlatformResult<PlatformChanges>& changes) {
+  void OnPlatform(const ConfigServiceResult<ConfigServiceChanges>& changes) {
     const TimePoint now = SteadyClock().Now();
     const std::uint64_t bytes = m_platform.BytesReceived();
     m_metrics.m_platform_bytes.Add(bytes -
@@ -217,7 +217,7 @@
       m_platform_lost = true;
       m_policy.OnPlatformFailed(now);
     } else {
-      const PlatformChanges& found = changes.assume_value();
+      const ConfigServiceChanges& found = changes.assume_value();
       if (m_platform_lost) {
         LogEvent(EventId::kPlatformReached, "revision={}", found.m_revision);
       }
@@ -275,7 +275,7 @@
   ControlMetrics m_metrics;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::steady_timer m_timer;
-  PlatformClient m_platform;
+  ConfigServiceClient m_platform;
   ControlServer m_server;
   ControlPolicy m_policy;
   std::uint64_t m_platform_bytes = 0;
--- /dev/null
+++ b/packages/gateway/include/gateway/feed_reader.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/boot_clock.h"
+#include "core/event.h"
+#include "core/random.h"
+#include "routing/published_state.h"
+
+namespace jackdawrack {
+
+/// How often the store is asked.
+struct FeedSettings {
+  /// Longest wait of one watch; a silent store is noticed after it.
+  Milliseconds m_watch_time{4'000};
+  /// Pause after changes, so that those that come together cost one call.
+  Milliseconds m_pause{400};
+  /// Pause after the first failed call; doubled up to the longest.
+  Milliseconds m_first_retry{100};
+  Milliseconds m_longest_retry{1'000};
+};
+
+/// Keeps the published state current from a store: one listing, then watches.
+///
+/// `Source` has `List(handler)` and `Watch(revision, wait, handler)`, each of
+/// which calls its handler with a `StoreResult<PublishedChanges>`.
+template <typename Source>
+class FeedReader final {
+ public:
+  /// All of them outlive the reader.
+  FeedReader(boost::asio::io_context& context,
+             Source& source,
+             PublishedState& state,
+             FeedSettings settings)
+      : m_source(source),
+        m_state(state),
+        m_settings(settings),
+        m_timer(context) {}
+
+  /// Begins to read.
+  void Start() { Ask(); }
+
+  /// When the store last answered.
+  [[nodiscard]] TimePoint LastAnswerAt() const { return m_last_answer; }
+
+ private:
+  void Ask() {
+    auto handler = [this](StoreResult<PublishedChanges> result) {
+      OnResult(std::move(result));
+    };
+    if (m_needs_listing) {
+      m_source.List(std::move(handler));
+    } else {
+      m_source.Watch(m_revision, m_settings.m_watch_time, std::move(handler));
+    }
+  }
+
+  void OnResult(StoreResult<PublishedChanges> result) {
+    if (result) {
+      OnChanges(result.assume_value());
+    } else {
+      OnFailure(result.error());
+    }
+  }
+
+  void OnChanges(const PublishedChanges& changes) {
+    const TimePoint now = BootClock().Now();
+    if (m_is_lost) {
+      m_is_lost = false;
+      m_state.NoteDisturbance(now);
+      LogEvent(EventId::kStoreReached, "revision={}", changes.m_revision);
+    }
+    m_last_answer = now;
+    m_retry = m_settings.m_first_retry;
+    if (m_needs_listing) {
+      m_state.ApplyListing(changes.m_changes, now);
+    } else {
+      m_state.Apply(changes.m_changes, now);
+    }
+    m_needs_listing = false;
+    m_revision = std::max(m_revision, changes.m_revision);
+    AskAfter(changes.m_changes.empty() ? Milliseconds(0) : m_settings.m_pause);
+  }
+
+  void OnFailure(const LayerError<StoreErrc>& error) {
+    if (error.m_code == StoreErrc::kHistoryGone) {
+      LogEvent(EventId::kStoreHistoryGone, "revision={}", m_revision);
+      m_needs_listing = true;
+      m_revision = 0;
+      AskAfter(Milliseconds(0));
+      return;
+    }
+    if (!m_is_lost) {
+      m_is_lost = true;
+      LogEvent(EventId::kStoreLost, "reason=\"{}\" revision={}",
+               error.m_message, m_revision);
+    }
+    const auto jitter = Milliseconds(
+        RandomBelow(static_cast<std::uint64_t>(m_retry.count() / 2 + 1)));
+    AskAfter(m_retry + jitter);
+    m_retry = std::min(m_retry * 2, m_settings.m_longest_retry);
+  }
+
+  void AskAfter(Milliseconds pause) {
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        Ask();
+      }
+    });
+  }
+
+  Source& m_source;
+  PublishedState& m_state;
+  const FeedSettings m_settings;
+  boost::asio::steady_timer m_timer;
+  std::uint64_t m_revision = 0;
+  bool m_needs_listing = true;
+  bool m_is_lost = false;
+  Milliseconds m_retry = m_settings.m_first_retry;
+  TimePoint m_last_answer{};
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/include/gateway/gateway.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+
+#include "gateway/gateway_settings.h"
+#include "net/net_error.h"
+#include "routing/published_state.h"
+
+namespace jackdawrack {
+
+/// The path of requests through one instance: callers' connections, routing,
+/// the runs, and connections to upstreams. Everything runs on the context's
+/// only thread.
+class Gateway final {
+ public:
+  /// `state` and `context` outlive the gateway.
+  Gateway(boost::asio::io_context& context,
+          GatewaySettings settings,
+          const PublishedState& state);
+  ~Gateway();
+
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /// Listens for callers; the error names the address.
+  NetResult<void> Start();
+
+  /// Takes what is published now.
+  void FollowPublished();
+
+  /// Takes how many instances there are, by failure domain.
+  void SetFleet(std::map<FailureDomain, std::size_t> instances);
+
+  /// Answers on with "Connection: close"; connections go on being accepted.
+  void EndConnections();
+
+  /// Closes the listener and idle connections; requests that run go on.
+  void StopAccepting();
+
+  /// Closes callers' connections without a request.
+  void CloseIdle();
+
+  /// Open connections of callers.
+  [[nodiscard]] std::size_t CallerConnections() const;
+
+  /// Open connections to upstreams.
+  [[nodiscard]] std::size_t UpstreamConnections() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/include/gateway/gateway_settings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "model/endpoint.h"
+#include "model/ids.h"
+#include "gateway/wire_headers.h"
+#include "routing/replica_choice.h"
+#include "routing/retry_budget.h"
+
+namespace jackdawrack {
+
+/// What the gateway is built from.
+struct GatewaySettings {
+  InstanceId m_instance;
+  FailureDomain m_domain;
+  /// Listener for callers.
+  Endpoint m_callers;
+  WireHeaders m_headers;
+  RetryBudgetSettings m_retry_budget;
+  ReplicaChoiceSettings m_replica_choice;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/caller_listener.cpp
@@ -0,0 +1,93 @@
+#include "caller_listener.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/event.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kListenBacklog = 1024;
+
+/// Pause after a failed accept, mostly for want of descriptors.
+constexpr Milliseconds kAcceptRetryDelay{50};
+
+}  // namespace
+
+CallerListener::CallerListener(asio::io_context& context,
+                               Endpoint endpoint,
+                               CallerService& service)
+    : m_acceptor(context),
+      m_endpoint(std::move(endpoint)),
+      m_service(service) {}
+
+NetResult<void> CallerListener::Start() {
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(m_endpoint.m_address, error), m_endpoint.m_port);
+  if (!error) {
+    m_acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return MakeError(NetErrc::kNotSent, "cannot listen on " +
+                                            m_endpoint.ToText() + ": " +
+                                            error.message());
+  }
+  asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(), asio::detached);
+  return boost::outcome_v2::success();
+}
+
+asio::awaitable<void> CallerListener::AcceptLoop() {
+  while (m_acceptor.is_open()) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
+    if (!error) {
+      m_sessions.push_back(
+          std::make_shared<CallerSession>(std::move(socket), m_service));
+      m_sessions.back()->Start();
+      continue;
+    }
+    if (!m_acceptor.is_open()) {
+      co_return;
+    }
+    LogEvent(EventId::kAcceptFailed, "reason=\"{}\"", error.message());
+    asio::steady_timer pause(m_acceptor.get_executor(), kAcceptRetryDelay);
+    co_await pause.async_wait(kTuple);
+  }
+}
+
+void CallerListener::StopAccepting() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void CallerListener::CloseOverdue(TimePoint now) {
+  m_sessions.remove_if(
+      [](const auto& session) { return session->IsClosed(); });
+  for (const auto& session : m_sessions) {
+    session->CloseOverdue(now);
+  }
+}
+
+void CallerListener::CloseIdle() {
+  for (const auto& session : m_sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/caller_listener.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <list>
+
+#include "caller_session.h"
+#include "model/endpoint.h"
+#include "net/net_error.h"
+
+namespace jackdawrack {
+
+/// Accepts callers' connections and holds their sessions.
+class CallerListener final {
+ public:
+  /// `service` outlives the listener.
+  CallerListener(boost::asio::io_context& context,
+                 Endpoint endpoint,
+                 CallerService& service);
+
+  CallerListener(const CallerListener&) = delete;
+  CallerListener& operator=(const CallerListener&) = delete;
+
+  /// Binds and begins to accept; the error names the address.
+  NetResult<void> Start();
+
+  /// Takes no further connections.
+  void StopAccepting();
+
+  /// Closes slow and idle connections and forgets closed ones.
+  void CloseOverdue(TimePoint now);
+
+  /// Closes connections on which no request has begun.
+  void CloseIdle();
+
+  [[nodiscard]] std::size_t OpenConnections() const {
+    return m_sessions.size();
+  }
+
+ private:
+  boost::asio::awaitable<void> AcceptLoop();
+
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  const Endpoint m_endpoint;
+  CallerService& m_service;
+  std::list<std::shared_ptr<CallerSession>> m_sessions;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/caller_session.cpp
@@ -0,0 +1,241 @@
+#include "caller_session.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "core/check.h"
+#include "core/event.h"
+#include "net/socket_options.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Milliseconds kUserTimeout{10'000};
+
+/// Longest wait for the caller to close after our last answer.
+constexpr Milliseconds kLingerTime{500};
+
+/// Longest time to read the rest of a body, once the header is in.
+constexpr Milliseconds kBodyTimeout{10'000};
+
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusTooLarge = 413;
+constexpr unsigned kStatusHeaderTooLarge = 431;
+
+std::string MakeHead(const CallerAnswer& answer, bool keep, Milliseconds idle) {
+  const auto reason =
+      http::obsolete_reason(static_cast<http::status>(answer.m_status));
+  std::string head =
+      fmt::format("HTTP/1.1 {} {}\r\n", answer.m_status,
+                  std::string_view(reason.data(), reason.size()));
+  head += answer.m_fields;
+  head += fmt::format("Content-Length: {}\r\n", answer.m_body.size());
+  head += keep ? fmt::format("Keep-Alive: timeout={}\r\n\r\n",
+                             idle.count() / 1000)
+               : "Connection: close\r\n\r\n";
+  return head;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket,
+                             CallerService& service)
+    : m_socket(std::move(socket)), m_service(service) {
+  ApplySocketOptions(m_socket, kUserTimeout);
+}
+
+void CallerSession::Start() {
+  asio::co_spawn(
+      m_socket.get_executor(),
+      [self = shared_from_this()] { return self->ReadRequest(); },
+      asio::detached);
+}
+
+asio::awaitable<void> CallerSession::ReadRequest() {
+  const auto self = shared_from_this();
+  const CallerLimits limits = m_service.Limits();
+  m_state = m_buffer.size() > 0 ? State::kReading : State::kIdle;
+  m_overdue_at = BootClock().Now() + (m_state == State::kIdle
+                                          ? limits.m_idle_timeout
+                                          : limits.m_header_timeout);
+  m_parser.emplace();
+  m_parser->header_limit(limits.m_max_header_bytes);
+  m_parser->body_limit(limits.m_max_body_bytes);
+  m_parser->eager(true);
+
+  // Read until the request is whole
+  while (!m_parser->is_done()) {
+    const auto [error, size] = co_await http::async_read_some(
+        m_socket, m_buffer, *m_parser, kTuple);
+    if (error) {
+      Refuse(error);
+      co_return;
+    }
+    const TimePoint now = BootClock().Now();
+    if (m_state == State::kIdle) {
+      m_state = State::kReading;
+      m_overdue_at = now + limits.m_header_timeout;
+    }
+    if (m_parser->is_header_done()) {
+      m_overdue_at = now + kBodyTimeout;
+    }
+  }
+
+  // Serve it
+  m_state = State::kServing;
+  m_overdue_at = TimePoint::max();
+  m_wants_keep_alive = m_parser->keep_alive();
+  m_is_head_method = m_parser->get().method() == http::verb::head;
+  m_run = m_service.Serve(m_parser->release(), BootClock().Now(),
+                          [self](CallerAnswer answer) {
+                            self->OnAnswer(std::move(answer));
+                          });
+  if (m_run != nullptr) {
+    m_run->Start();
+  }
+  if (m_state == State::kServing && m_run != nullptr) {
+    WatchForLeaving();
+  }
+}
+
+void CallerSession::Refuse(const boost::system::error_code& error) {
+  const bool is_http_error =
+      error.category() ==
+          http::make_error_code(http::error::bad_value).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message;
+  if (!is_http_error) {
+    Close();
+    return;
+  }
+  unsigned status = kStatusBadRequest;
+  if (error == http::error::body_limit) {
+    status = kStatusTooLarge;
+  } else if (error == http::error::header_limit) {
+    status = kStatusHeaderTooLarge;
+  }
+  LogEvent(EventId::kCallerInputRefused, "status={} reason=\"{}\"", status,
+           error.message());
+  m_wants_keep_alive = false;
+  m_state = State::kServing;
+  m_overdue_at = TimePoint::max();
+  OnAnswer(MakeOwnAnswer(status, error.message()));
+}
+
+void CallerSession::OnAnswer(CallerAnswer answer) {
+  m_run = nullptr;
+  if (IsClosed()) {
+    return;
+  }
+  const bool keep = m_wants_keep_alive && m_service.KeepsConnections();
+  asio::co_spawn(m_socket.get_executor(),
+                 [self = shared_from_this(), answer = std::move(answer),
+                  keep]() mutable {
+                   return self->WriteAnswer(std::move(answer), keep);
+                 },
+                 asio::detached);
+}
+
+asio::awaitable<void> CallerSession::WriteAnswer(CallerAnswer answer,
+                                                 bool keep) {
+  const auto self = shared_from_this();
+  const std::string head =
+      MakeHead(answer, keep, m_service.Limits().m_idle_timeout);
+  std::array<asio::const_buffer, 2> buffers{asio::buffer(head), {}};
+  if (!m_is_head_method) {
+    buffers[1] = asio::buffer(answer.m_body);
+  }
+  const auto [error, size] = co_await asio::async_write(m_socket, buffers, kTuple);
+  if (error) {
+    Close();
+    co_return;
+  }
+  if (keep) {
+    co_await ReadRequest();
+  } else {
+    co_await Linger();
+  }
+}
+
+asio::awaitable<void> CallerSession::Linger() {
+  // Closing with unread bytes would reset the connection under the answer
+  m_state = State::kClosing;
+  m_overdue_at = BootClock().Now() + kLingerTime;
+  boost::system::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  std::array<char, 4096> rest{};
+  while (true) {
+    const auto [error, size] =
+        co_await m_socket.async_read_some(asio::buffer(rest), kTuple);
+    if (error) {
+      break;
+    }
+  }
+  Close();
+}
+
+void CallerSession::WatchForLeaving() {
+  if (m_is_watching) {
+    return;
+  }
+  m_is_watching = true;
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [self = shared_from_this()](boost::system::error_code) {
+                        self->m_is_watching = false;
+                        self->OnReadable();
+                      });
+}
+
+void CallerSession::OnReadable() {
+  if (m_run == nullptr || IsClosed()) {
+    return;
+  }
+  char byte = 0;
+  const auto peeked = recv(m_socket.native_handle(), &byte, sizeof(byte),
+                           MSG_PEEK | MSG_DONTWAIT);
+  if (peeked > 0) {
+    return;
+  }
+  if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    WatchForLeaving();
+    return;
+  }
+  const auto run = std::move(m_run);
+  m_run = nullptr;
+  run->CallerLeft();
+  Close();
+}
+
+void CallerSession::CloseOverdue(TimePoint now) {
+  if (now >= m_overdue_at) {
+    Close();
+  }
+}
+
+void CallerSession::CloseIfIdle() {
+  if (m_state == State::kIdle) {
+    Close();
+  }
+}
+
+void CallerSession::Close() {
+  m_overdue_at = TimePoint::max();
+  m_state = State::kClosing;
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/forward_run.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "request_run.h"
+
+namespace jackdawrack {
+
+/// Gives a request to one upstream of a service and its answer to the caller.
+class ForwardRun final : public RequestRun,
+                         public std::enable_shared_from_this<ForwardRun> {
+ public:
+  ForwardRun(const RunContext& context,
+             std::shared_ptr<const CallerCall> call,
+             ServiceName service,
+             AnswerHandler handler);
+
+  void Start() override;
+  void CallerLeft() override;
+
+ private:
+  void WaitForTimer();
+  void OnTimer();
+  void OnEnd(PartResult result);
+  void Answer(CallerAnswer answer);
+
+  RunContext m_context;
+  const std::shared_ptr<const CallerCall> m_call;
+  const ServiceName m_service;
+  AnswerHandler m_handler;
+  boost::asio::steady_timer m_timer;
+  std::shared_ptr<PartRun> m_part;
+  bool m_is_over = false;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,98 @@
+#include "gateway/gateway.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "caller_listener.h"
+#include "request_router.h"
+
+namespace jackdawrack {
+namespace {
+
+/// Period of the sweep that closes overdue connections; abandoned requests are
+/// to end within half a second.
+constexpr Milliseconds kSweepPeriod{100};
+
+}  // namespace
+
+class Gateway::Impl final {
+ public:
+  Impl(boost::asio::io_context& context,
+       GatewaySettings settings,
+       const PublishedState& state)
+      : m_settings(std::move(settings)),
+        m_state(state),
+        m_replicas(context, m_settings),
+        m_router(RunContext{context, m_settings, m_replicas, m_hedge_delays},
+                 state),
+        m_listener(context, m_settings.m_callers, m_router),
+        m_sweep(context) {}
+
+  NetResult<void> Start() {
+    ScheduleSweep();
+    return m_listener.Start();
+  }
+
+  void FollowPublished() { m_replicas.Follow(m_state); }
+
+  void ScheduleSweep() {
+    m_sweep.expires_after(kSweepPeriod);
+    m_sweep.async_wait([this](boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      const TimePoint now = BootClock().Now();
+      m_replicas.CloseOverdue(now);
+      m_listener.CloseOverdue(now);
+      ScheduleSweep();
+    });
+  }
+
+  const GatewaySettings m_settings;
+  const PublishedState& m_state;
+  ReplicaSet m_replicas;
+  HedgeDelays m_hedge_delays;
+  RequestRouter m_router;
+  CallerListener m_listener;
+  boost::asio::steady_timer m_sweep;
+};
+
+Gateway::Gateway(boost::asio::io_context& context,
+                 GatewaySettings settings,
+                 const PublishedState& state)
+    : m_impl(std::make_unique<Impl>(context, std::move(settings), state)) {}
+
+Gateway::~Gateway() = default;
+
+NetResult<void> Gateway::Start() {
+  return m_impl->Start();
+}
+
+void Gateway::FollowPublished() {
+  m_impl->FollowPublished();
+}
+
+void Gateway::SetFleet(std::map<FailureDomain, std::size_t> instances) {
+  m_impl->m_replicas.SetFleet(std::move(instances));
+}
+
+void Gateway::EndConnections() {
+  m_impl->m_router.EndConnections();
+}
+
+void Gateway::StopAccepting() {
+  m_impl->m_listener.StopAccepting();
+}
+
+void Gateway::CloseIdle() {
+  m_impl->m_listener.CloseIdle();
+}
+
+std::size_t Gateway::CallerConnections() const {
+  return m_impl->m_listener.OpenConnections();
+}
+
+std::size_t Gateway::UpstreamConnections() const {
+  return m_impl->m_replicas.ConnectionCount();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/gather_run.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <optional>
+
+#include "request_run.h"
+#include "routing/gather_progress.h"
+
+namespace jackdawrack {
+
+/// Asks one replica of every shard and merges their parts into one answer.
+class GatherRun final : public RequestRun,
+                        public std::enable_shared_from_this<GatherRun> {
+ public:
+  GatherRun(const RunContext& context,
+            std::shared_ptr<const CallerCall> call,
+            AnswerHandler handler);
+
+  void Start() override;
+  void CallerLeft() override;
+
+ private:
+  void OnPart(std::size_t index, PartResult result);
+  void Conclude();
+  void WaitForTimer();
+  void OnTimer();
+  void StopParts(TimePoint now);
+  [[nodiscard]] CallerAnswer MakeMergedAnswer() const;
+  [[nodiscard]] CallerAnswer MakeFailure(TimePoint now) const;
+  void Answer(CallerAnswer answer);
+
+  RunContext m_context;
+  const std::shared_ptr<const CallerCall> m_call;
+  AnswerHandler m_handler;
+  boost::asio::steady_timer m_timer;
+  GatherProgress m_progress;
+  std::vector<std::shared_ptr<PartRun>> m_parts;
+  std::vector<std::optional<UpstreamAnswer>> m_answers;
+  bool m_is_over = false;
+  bool m_is_starting = true;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/part_run.cpp
@@ -0,0 +1,224 @@
+#include "part_run.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr unsigned kStatusMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+
+/// Pause after which a hedge that the budget refused is tried again.
+constexpr Milliseconds kHedgeRetryDelay{25};
+
+bool IsSuccessStatus(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+bool PartResult::IsSuccess() const {
+  return m_end == PartEnd::kAnswered && IsSuccessStatus(m_answer->result_int());
+}
+
+PartRun::PartRun(const RunContext& context,
+                 std::shared_ptr<const CallerCall> call,
+                 const ServiceName& service,
+                 Handler handler)
+    : m_context(context),
+      m_call(std::move(call)),
+      m_group(context.m_replicas.Group(service)),
+      m_handler(std::move(handler)) {}
+
+void PartRun::Start() {
+  const TimePoint now = BootClock().Now();
+  m_group.Budget().RecordRequest(now);
+  if (m_call->IsIdempotent()) {
+    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+  }
+  SendOrWait();
+}
+
+void PartRun::SendOrWait() {
+  const TimePoint now = BootClock().Now();
+  if (const auto pool = m_group.Choose(m_tried, now)) {
+    SendTo(pool, m_arrivals > 0);
+    return;
+  }
+  if (!m_group.HasCandidate(m_tried, now)) {
+    Finish({m_may_have_run ? PartEnd::kFailed : PartEnd::kNotRun,
+            std::move(m_last_failure)});
+    return;
+  }
+  if (!m_is_waiting) {
+    m_is_waiting = true;
+    m_group.WaitForCapacity(weak_from_this(), [this] {
+      m_is_waiting = false;
+      if (!m_is_over && !IsRunning()) {
+        SendOrWait();
+      }
+    });
+  }
+}
+
+bool PartRun::SendTo(const std::shared_ptr<ReplicaPool>& pool, bool is_repeat) {
+  const TimePoint now = BootClock().Now();
+  if (now >= m_call->m_final_at) {
+    return false;
+  }
+  ChannelRequest request;
+  request.m_make_head = [call = m_call, &headers = m_context.m_settings.m_headers,
+                         id = pool->Record().m_id.Text()] {
+    return MakeUpstreamHead(*call, headers, id, BootClock().Now());
+  };
+  request.m_body = m_call->m_body;
+  request.m_request_id = m_call->m_request_id;
+  request.m_is_head_method = m_call->m_method == "HEAD";
+
+  const std::size_t index = m_attempts.size();
+  m_tried.push_back(pool->Record().m_id);
+  ++m_arrivals;
+  m_attempts.push_back(Attempt{pool, {}, now, is_repeat, true});
+  m_attempts[index].m_sent =
+      pool->Send(std::move(request), !m_call->IsIdempotent(),
+                 [self = shared_from_this(), index](ExchangeResult result) {
+                   self->OnEnd(index, std::move(result));
+                 });
+  return true;
+}
+
+bool PartRun::IsRunning() const {
+  return std::any_of(m_attempts.begin(), m_attempts.end(),
+                     [](const Attempt& attempt) { return attempt.m_is_running; });
+}
+
+void PartRun::OnEnd(std::size_t index, ExchangeResult result) {
+  const TimePoint now = BootClock().Now();
+  Attempt& attempt = m_attempts[index];
+  attempt.m_is_running = false;
+  if (m_is_over) {
+    return;
+  }
+
+  if (result.m_end == ExchangeEnd::kNotSent) {
+    --m_arrivals;
+    if (attempt.m_is_repeat) {
+      m_group.Budget().GiveBack();
+    }
+    OnAttemptFailed(PartEnd::kNotRun, std::nullopt);
+    return;
+  }
+  if (result.m_end == ExchangeEnd::kBroken) {
+    OnAttemptFailed(PartEnd::kFailed, std::nullopt);
+    return;
+  }
+
+  // Tell refusals, failures and answers apart
+  const WireHeaders& headers = m_context.m_settings.m_headers;
+  UpstreamAnswer& answer = *result.m_answer;
+  const unsigned status = answer.result_int();
+  const bool is_refused = answer.find(headers.m_not_run) != answer.end() ||
+                          status == kStatusMisdirected;
+  const bool is_signed = answer.find(headers.m_signature) != answer.end();
+  if (is_refused) {
+    OnAttemptFailed(PartEnd::kNotRun, std::nullopt);
+    return;
+  }
+  if (!is_signed || (status >= kFirstServerError && m_call->IsIdempotent())) {
+    OnAttemptFailed(PartEnd::kFailed, is_signed ? std::move(result.m_answer)
+                                                : std::nullopt);
+    return;
+  }
+  if (index == 0) {
+    m_context.m_hedge_delays.Record(m_call->m_route->m_name,
+                                    now - attempt.m_sent_at, now);
+  }
+  Finish({PartEnd::kAnswered, std::move(result.m_answer)});
+}
+
+void PartRun::OnAttemptFailed(PartEnd end,
+                              std::optional<UpstreamAnswer> answer) {
+  JR_CHECK(end != PartEnd::kAnswered);
+  if (end == PartEnd::kFailed) {
+    m_may_have_run = true;
+  }
+  if (answer) {
+    m_last_failure = std::move(answer);
+  }
+  if (!IsRunning()) {
+    TryAgain();
+  }
+}
+
+void PartRun::TryAgain() {
+  const TimePoint now = BootClock().Now();
+  const bool may_repeat = m_call->IsIdempotent() || !m_may_have_run;
+  const bool has_attempts = m_arrivals < m_call->m_route->m_max_attempts;
+  const bool has_time = now < m_call->m_final_at;
+  if (may_repeat && has_attempts && has_time && m_arrivals == 0) {
+    SendOrWait();
+    return;
+  }
+  if (may_repeat && has_attempts && has_time) {
+    const auto pool = m_group.Choose(m_tried, now);
+    if (pool != nullptr &&
+        m_group.Budget().TryTake(RepeatPurpose::kRetry,
+                                 m_context.m_replicas.FleetSizeTotal(), now)) {
+      SendTo(pool, true);
+      return;
+    }
+  }
+  Finish({m_may_have_run ? PartEnd::kFailed : PartEnd::kNotRun,
+          std::move(m_last_failure)});
+}
+
+void PartRun::HedgeIfDue(TimePoint now) {
+  if (m_is_over || now < m_hedge_at) {
+    return;
+  }
+  if (m_arrivals == 0) {
+    m_hedge_at = now + kHedgeRetryDelay;
+    return;
+  }
+  if (m_arrivals >= m_call->m_route->m_max_attempts) {
+    m_hedge_at = TimePoint::max();
+    return;
+  }
+  const auto pool = m_group.Choose(m_tried, now);
+  const bool may_send =
+      pool != nullptr &&
+      m_group.Budget().TryTake(RepeatPurpose::kHedge,
+                               m_context.m_replicas.FleetSizeTotal(), now);
+  m_hedge_at = now + kHedgeRetryDelay;
+  if (may_send) {
+    SendTo(pool, true);
+    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+  }
+}
+
+void PartRun::StopAttempts(TimePoint now) {
+  for (Attempt& attempt : m_attempts) {
+    if (attempt.m_is_running) {
+      attempt.m_is_running = false;
+      attempt.m_pool->Abandon(attempt.m_sent, now);
+    }
+  }
+}
+
+void PartRun::Stop(TimePoint now) {
+  m_may_have_run = m_may_have_run || IsRunning();
+  m_is_over = true;
+  m_hedge_at = TimePoint::max();
+  StopAttempts(now);
+}
+
+void PartRun::Finish(PartResult result) {
+  JR_CHECK(!m_is_over);
+  Stop(BootClock().Now());
+  const Handler handler = std::move(m_handler);
+  handler(std::move(result));
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/part_run.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "caller_call.h"
+#include "run_context.h"
+
+namespace jackdawrack {
+
+/// How the sends of a call to one service ended.
+enum class PartEnd : std::uint8_t {
+  /// An upstream gave its own answer, with its signature.
+  kAnswered,
+  /// Nothing ran: every send was refused or never left.
+  kNotRun,
+  /// It may have run; there is no answer to give, or only a failure.
+  kFailed,
+};
+
+/// The end of a part, with the upstream's answer or failure if there is one.
+struct PartResult {
+  PartEnd m_end = PartEnd::kNotRun;
+  std::optional<UpstreamAnswer> m_answer;
+
+  /// A success that may be given to the caller.
+  [[nodiscard]] bool IsSuccess() const;
+};
+
+/// Sends one call to replicas of one service until one answers: repeats what
+/// did not run, repeats and hedges what may run more than once, within the
+/// route's attempts and the budget of repeats.
+class PartRun final : public std::enable_shared_from_this<PartRun> {
+ public:
+  using Handler = std::function<void(PartResult)>;
+
+  /// The handler is called once, unless the part is stopped before.
+  PartRun(const RunContext& context,
+          std::shared_ptr<const CallerCall> call,
+          const ServiceName& service,
+          Handler handler);
+
+  PartRun(const PartRun&) = delete;
+  PartRun& operator=(const PartRun&) = delete;
+
+  /// Sends for the first time.
+  void Start();
+
+  /// Sends a hedge if it is time and the budget allows it.
+  void HedgeIfDue(TimePoint now);
+
+  /// When `HedgeIfDue` should be called next; the maximum if never.
+  [[nodiscard]] TimePoint NextHedgeAt() const { return m_hedge_at; }
+
+  /// Gives up all sends; the handler is not called any more.
+  void Stop(TimePoint now);
+
+  [[nodiscard]] bool IsOver() const { return m_is_over; }
+
+  /// A request of this part has been handed to an upstream's connection and
+  /// was not refused.
+  [[nodiscard]] bool MayHaveRun() const { return m_may_have_run; }
+
+ private:
+  struct Attempt {
+    std::shared_ptr<ReplicaPool> m_pool;
+    SentRequest m_sent;
+    TimePoint m_sent_at{};
+    bool m_is_repeat = false;
+    bool m_is_running = true;
+  };
+
+  void SendOrWait();
+  bool SendTo(const std::shared_ptr<ReplicaPool>& pool, bool is_repeat);
+  void OnEnd(std::size_t index, ExchangeResult result);
+  void OnAttemptFailed(PartEnd end, std::optional<UpstreamAnswer> answer);
+  void TryAgain();
+  [[nodiscard]] bool IsRunning() const;
+  void Finish(PartResult result);
+  void StopAttempts(TimePoint now);
+
+  RunContext m_context;
+  const std::shared_ptr<const CallerCall> m_call;
+  ReplicaGroup& m_group;
+  Handler m_handler;
+  std::vector<Attempt> m_attempts;
+  std::vector<UpstreamId> m_tried;
+  /// Sends that reached, or may have reached, an upstream.
+  std::uint32_t m_arrivals = 0;
+  bool m_may_have_run = false;
+  bool m_is_waiting = false;
+  bool m_is_over = false;
+  TimePoint m_hedge_at = TimePoint::max();
+  std::optional<UpstreamAnswer> m_last_failure;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/replica_set.cpp
@@ -0,0 +1,193 @@
+#include "replica_set.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/event.h"
+
+namespace jackdawrack {
+namespace {
+
+/// Instances assumed until the fleet is known: small shares are safe.
+constexpr std::size_t kAssumedHome = 4;
+constexpr std::size_t kAssumedRemote = 8;
+
+bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// True if `record` speaks of another process than the pool's connections go to.
+bool IsOtherProcess(const ReplicaRecord& known, const ReplicaRecord& record) {
+  return known.m_endpoint != record.m_endpoint ||
+         known.m_service != record.m_service ||
+         known.m_incarnation.m_birth != record.m_incarnation.m_birth;
+}
+
+}  // namespace
+
+ReplicaGroup::ReplicaGroup(const GatewaySettings& settings)
+    : m_choice(settings.m_replica_choice), m_budget(settings.m_retry_budget) {}
+
+std::shared_ptr<ReplicaPool> ReplicaGroup::Choose(
+    const std::vector<UpstreamId>& tried,
+    TimePoint now) {
+  m_candidates.clear();
+  for (const auto& pool : m_pools) {
+    m_candidates.push_back(pool->Candidate(now));
+    if (Contains(tried, pool->Record().m_id)) {
+      m_candidates.back().m_is_usable = false;
+    }
+  }
+  const auto best = ChooseReplica(m_candidates, m_choice, m_rotation++);
+  return best ? m_pools[*best] : nullptr;
+}
+
+bool ReplicaGroup::HasCandidate(const std::vector<UpstreamId>& tried,
+                                TimePoint now) {
+  return std::any_of(
+      m_pools.begin(), m_pools.end(), [&tried, now](const auto& pool) {
+        const ReplicaCandidate candidate = pool->Candidate(now);
+        return (candidate.m_is_usable || candidate.m_in_flight > 0) &&
+               !pool->Record().m_draining &&
+               !Contains(tried, pool->Record().m_id);
+      });
+}
+
+void ReplicaGroup::WaitForCapacity(std::weak_ptr<void> owner,
+                                   std::function<void()> retry) {
+  m_waiters.push_back(Waiter{std::move(owner), std::move(retry)});
+}
+
+void ReplicaGroup::OnCapacity() {
+  std::list<Waiter> waiters;
+  waiters.swap(m_waiters);
+  for (const Waiter& waiter : waiters) {
+    if (const auto alive = waiter.m_owner.lock()) {
+      waiter.m_retry();
+    }
+  }
+}
+
+ReplicaSet::ReplicaSet(boost::asio::io_context& context,
+                       GatewaySettings settings)
+    : m_context(context), m_settings(std::move(settings)) {}
+
+ReplicaGroup& ReplicaSet::Group(const ServiceName& service) {
+  auto& group = m_groups[service];
+  if (group == nullptr) {
+    group = std::make_unique<ReplicaGroup>(m_settings);
+  }
+  return *group;
+}
+
+void ReplicaSet::Follow(const PublishedState& state) {
+  m_table = state.Table();
+
+  // Retire what is no longer published
+  const auto records = state.Directory().Records();
+  std::set<UpstreamId> published;
+  for (const ReplicaRecord& record : records) {
+    published.insert(record.m_id);
+  }
+  std::erase_if(m_pools, [this, &published](const auto& item) {
+    if (published.contains(item.first)) {
+      return false;
+    }
+    LogEvent(EventId::kReplicaGone, "upstream={}", item.first.Text());
+    item.second->Retire();
+    std::erase(Group(item.second->Record().m_service).Pools(), item.second);
+    m_retired.push_back(item.second);
+    return true;
+  });
+
+  // Take what is new or has changed
+  for (const ReplicaRecord& record : records) {
+    Place(record);
+  }
+  if (m_table != nullptr) {
+    SetShares(*m_table);
+  }
+  for (const auto& [service, group] : m_groups) {
+    group->OnCapacity();
+  }
+}
+
+void ReplicaSet::Place(const ReplicaRecord& record) {
+  auto& pool = m_pools[record.m_id];
+  if (pool != nullptr && !IsOtherProcess(pool->Record(), record)) {
+    if (record.m_draining && !pool->Record().m_draining) {
+      LogEvent(EventId::kReplicaDraining, "upstream={}", record.m_id.Text());
+    }
+    if (record != pool->Record()) {
+      pool->Update(record);
+    }
+    return;
+  }
+  if (pool != nullptr) {
+    pool->Retire();
+    std::erase(Group(pool->Record().m_service).Pools(), pool);
+    m_retired.push_back(pool);
+  }
+  LogEvent(EventId::kReplicaAppeared, "upstream={} service={} address={} domain={}",
+           record.m_id.Text(), record.m_service.Text(),
+           record.m_endpoint.ToText(), record.m_domain.Text());
+  ReplicaPoolSettings settings;
+  settings.m_id_header = m_settings.m_headers.m_request_id;
+  settings.m_not_run_header = m_settings.m_headers.m_not_run;
+  settings.m_is_home = record.m_domain == m_settings.m_domain;
+  ReplicaGroup& group = Group(record.m_service);
+  pool = std::make_shared<ReplicaPool>(m_context, record, std::move(settings),
+                                       [&group] { group.OnCapacity(); });
+  group.Pools().push_back(pool);
+}
+
+FleetSize ReplicaSet::FleetAround(const FailureDomain& domain) const {
+  if (m_instances.empty()) {
+    return FleetSize{kAssumedHome, kAssumedRemote};
+  }
+  FleetSize size{0, 0};
+  for (const auto& [place, count] : m_instances) {
+    (place == domain ? size.m_home : size.m_remote) += count;
+  }
+  return size;
+}
+
+void ReplicaSet::SetShares(const RouteTable& table) {
+  for (const auto& [id, pool] : m_pools) {
+    const ReplicaRecord& record = pool->Record();
+    pool->SetConnectionShare(ConnectionShare(
+        table.ConnectionLimit(record.m_service), FleetAround(record.m_domain),
+        record.m_domain == m_settings.m_domain));
+  }
+}
+
+void ReplicaSet::SetFleet(std::map<FailureDomain, std::size_t> instances) {
+  m_instances = std::move(instances);
+  if (m_table != nullptr) {
+    SetShares(*m_table);
+  }
+}
+
+std::size_t ReplicaSet::FleetSizeTotal() const {
+  return FleetAround(m_settings.m_domain).Total();
+}
+
+std::size_t ReplicaSet::ConnectionCount() const {
+  std::size_t count = 0;
+  for (const auto& [id, pool] : m_pools) {
+    count += pool->ChannelCount();
+  }
+  return count;
+}
+
+void ReplicaSet::CloseOverdue(TimePoint now) {
+  for (const auto& [id, pool] : m_pools) {
+    pool->CloseOverdue(now);
+  }
+  for (const auto& pool : m_retired) {
+    pool->CloseOverdue(now);
+  }
+  std::erase_if(m_retired, [](const auto& pool) { return pool->IsQuiet(); });
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/replica_set.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <unordered_map>
+
+#include "gateway/gateway_settings.h"
+#include "replica_pool.h"
+#include "routing/connection_share.h"
+#include "routing/published_state.h"
+#include "routing/retry_budget.h"
+
+namespace jackdawrack {
+
+/// The replicas of one service, its budget of repeats, and who waits for a
+/// connection to one of them.
+class ReplicaGroup final {
+ public:
+  explicit ReplicaGroup(const GatewaySettings& settings);
+
+  /// The best usable replica that is not in `tried`, or null.
+  [[nodiscard]] std::shared_ptr<ReplicaPool> Choose(
+      const std::vector<UpstreamId>& tried,
+      TimePoint now);
+
+  /// True if a replica outside `tried` takes work, even if it has no free
+  /// connection now.
+  [[nodiscard]] bool HasCandidate(const std::vector<UpstreamId>& tried,
+                                  TimePoint now);
+
+  [[nodiscard]] RetryBudget& Budget() { return m_budget; }
+  [[nodiscard]] std::vector<std::shared_ptr<ReplicaPool>>& Pools() {
+    return m_pools;
+  }
+
+  /// Calls `retry` once when a connection may have become free; it is dropped
+  /// with `owner`.
+  void WaitForCapacity(std::weak_ptr<void> owner, std::function<void()> retry);
+
+  /// Wakes the requests that wait.
+  void OnCapacity();
+
+ private:
+  struct Waiter {
+    std::weak_ptr<void> m_owner;
+    std::function<void()> m_retry;
+  };
+
+  const ReplicaChoiceSettings m_choice;
+  RetryBudget m_budget;
+  std::vector<std::shared_ptr<ReplicaPool>> m_pools;
+  std::vector<ReplicaCandidate> m_candidates;
+  std::list<Waiter> m_waiters;
+  std::size_t m_rotation = 0;
+};
+
+/// All replicas that this instance may send to, by service; follows the
+/// published state.
+class ReplicaSet final {
+ public:
+  ReplicaSet(boost::asio::io_context& context, GatewaySettings settings);
+
+  /// Takes what is published now.
+  void Follow(const PublishedState& state);
+
+  /// Takes how many instances there are, by failure domain.
+  void SetFleet(std::map<FailureDomain, std::size_t> instances);
+
+  /// The group of a service; an empty one if nothing is published of it.
+  [[nodiscard]] ReplicaGroup& Group(const ServiceName& service);
+
+  /// Closes overdue connections and forgets retired replicas that are quiet.
+  void CloseOverdue(TimePoint now);
+
+  /// Instances that share the budgets.
+  [[nodiscard]] std::size_t FleetSizeTotal() const;
+
+  /// Open connections to all replicas.
+  [[nodiscard]] std::size_t ConnectionCount() const;
+
+ private:
+  void Place(const ReplicaRecord& record);
+  void SetShares(const RouteTable& table);
+  [[nodiscard]] FleetSize FleetAround(const FailureDomain& domain) const;
+
+  boost::asio::io_context& m_context;
+  const GatewaySettings m_settings;
+  std::unordered_map<ServiceName, std::unique_ptr<ReplicaGroup>> m_groups;
+  std::map<UpstreamId, std::shared_ptr<ReplicaPool>> m_pools;
+  std::vector<std::shared_ptr<ReplicaPool>> m_retired;
+  std::map<FailureDomain, std::size_t> m_instances;
+  RouteTablePtr m_table;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/request_router.cpp
@@ -0,0 +1,124 @@
+#include "request_router.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "core/event.h"
+#include "forward_run.h"
+#include "gather_run.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusNotFound = 404;
+
+/// Pause asked for while no configuration is known; it comes within seconds.
+constexpr Milliseconds kStartingRetryAfter{200};
+
+std::string_view ToView(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view HostOf(std::string_view field) {
+  return field.substr(0, field.rfind(':'));
+}
+
+std::optional<Milliseconds> ParseMs(std::string_view text) {
+  std::uint32_t value = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return Milliseconds(value);
+}
+
+}  // namespace
+
+RequestRouter::RequestRouter(const RunContext& context,
+                             const PublishedState& state)
+    : m_context(context), m_state(state) {}
+
+CallerLimits RequestRouter::Limits() const {
+  return m_state.Table() == nullptr ? CallerLimits{}
+                                    : m_state.Table()->Limits();
+}
+
+Duration RequestRouter::NoteSpentTime(const Route& route,
+                                      Milliseconds deadline) {
+  Milliseconds& first = m_first_deadlines[route.m_name];
+  first = std::max(first, deadline);
+  return first - deadline;
+}
+
+std::shared_ptr<CallerCall> RequestRouter::MakeCall(CallerMessage& message,
+                                                    const Route& route,
+                                                    TimePoint arrived_at) {
+  const WireHeaders& headers = m_context.m_settings.m_headers;
+  auto call = std::make_shared<CallerCall>();
+  call->m_request_id = std::string(ToView(message[headers.m_request_id]));
+  call->m_method = std::string(ToView(message.method_string()));
+  call->m_forwarded_head = MakeForwardedHead(message, headers);
+  if (!message.body().empty()) {
+    call->m_body =
+        std::make_shared<const std::string>(std::move(message.body()));
+  }
+  call->m_table = m_state.Table();
+  call->m_route = &route;
+  call->m_arrived_at = arrived_at;
+  call->m_final_at = arrived_at + route.m_timeout;
+  const auto deadline = ParseMs(ToView(message[headers.m_deadline]));
+  if (deadline) {
+    call->m_final_at = std::min(call->m_final_at, arrived_at + *deadline);
+    call->m_spent_before = NoteSpentTime(route, *deadline);
+  }
+  return call;
+}
+
+std::shared_ptr<RequestRun> RequestRouter::Serve(
+    CallerMessage message,
+    TimePoint arrived_at,
+    RequestRun::AnswerHandler answer) {
+  if (m_state.Table() == nullptr) {
+    answer(MakeNotRunAnswer(kStartingRetryAfter,
+                            "No configuration is known yet."));
+    return nullptr;
+  }
+  if (message.count(http::field::host) != 1) {
+    answer(MakeOwnAnswer(kStatusBadRequest, "One Host field is needed."));
+    return nullptr;
+  }
+
+  // Find the route
+  const std::string_view host = ToView(message[http::field::host]);
+  const std::string_view path = PathOf(ToView(message.target()));
+  const Route* route = m_state.Table()->Find(host, path);
+  if (route == nullptr) {
+    route = m_state.Table()->Find(HostOf(host), path);
+  }
+  if (route == nullptr) {
+    LogEvent(EventId::kRouteUnknown, "host={} path={} version={}", host, path,
+             m_state.Table()->Version());
+    answer(MakeOwnAnswer(kStatusNotFound, "No route matches the request."));
+    return nullptr;
+  }
+
+  // Begin its run
+  auto call = MakeCall(message, *route, arrived_at);
+  if (route->IsScattered()) {
+    return std::make_shared<GatherRun>(m_context, std::move(call),
+                                       std::move(answer));
+  }
+  ServiceName service = m_rotations[route->m_name].Next(route->m_services);
+  return std::make_shared<ForwardRun>(m_context, std::move(call),
+                                      std::move(service), std::move(answer));
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/request_run.cpp
@@ -0,0 +1,29 @@
+#include "request_run.h"
+
+#include <algorithm>
+
+namespace jackdawrack {
+namespace {
+
+constexpr unsigned kStatusBadGateway = 502;
+constexpr unsigned kStatusTimeout = 504;
+
+/// Pause that a refused caller is asked for: time for a slot to come free.
+constexpr Milliseconds kRetryAfter{50};
+
+}  // namespace
+
+CallerAnswer MakeUnservedAnswer(const CallerCall& call, TimePoint now) {
+  const Milliseconds left(RemainingMs(now, call.m_final_at));
+  return MakeNotRunAnswer(std::min(kRetryAfter, left / 3),
+                          "No upstream can take the request now.");
+}
+
+CallerAnswer MakeLostAnswer(const CallerCall& call, TimePoint now) {
+  if (now >= call.m_final_at) {
+    return MakeOwnAnswer(kStatusTimeout, "No answer came in time.");
+  }
+  return MakeOwnAnswer(kStatusBadGateway, "The upstreams gave no answer.");
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/run_context.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/gateway_settings.h"
+#include "replica_set.h"
+#include "routing/hedge_delays.h"
+
+namespace jackdawrack {
+
+/// What all running requests share; it outlives them.
+struct RunContext {
+  boost::asio::io_context& m_io;
+  const GatewaySettings& m_settings;
+  ReplicaSet& m_replicas;
+  HedgeDelays& m_hedge_delays;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/gateway/src/upstream_channel.cpp
@@ -0,0 +1,208 @@
+#include "upstream_channel.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+
+#include "core/check.h"
+#include "net/socket_options.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Longest time for a connection to open: two ways between regions and the
+/// upstream's own handling, but no retransmission of the first packet.
+constexpr Milliseconds kConnectTimeout{400};
+
+/// Longest idleness after which a connection is used again.
+constexpr Milliseconds kLongestIdle{10'000};
+
+/// Taken off the idle time that the upstream states, for the way there.
+constexpr Milliseconds kKeepAliveMargin{1'000};
+
+constexpr Milliseconds kUserTimeout{3'000};
+constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+
+// The seconds in "timeout=N" of a Keep-Alive field.
+std::optional<Milliseconds> KeepAliveTime(std::string_view field) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t place = field.find(kName);
+  if (place == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = field.substr(place + kName.size());
+  std::uint32_t seconds = 0;
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+UpstreamChannel::UpstreamChannel(asio::io_context& context,
+                                 asio::ip::tcp::endpoint endpoint,
+                                 std::string id_header)
+    : m_socket(context),
+      m_endpoint(std::move(endpoint)),
+      m_id_header(std::move(id_header)) {}
+
+void UpstreamChannel::Send(ChannelRequest request, Handler handler) {
+  JR_CHECK(IsIdle());
+  m_is_busy = true;
+  m_is_abandoned = false;
+  m_connect_until = BootClock().Now() + kConnectTimeout;
+  asio::co_spawn(m_socket.get_executor(),
+                 [self = shared_from_this(), request = std::move(request),
+                  handler = std::move(handler)]() mutable {
+                   return self->Run(std::move(request), std::move(handler));
+                 },
+                 asio::detached);
+}
+
+asio::awaitable<void> UpstreamChannel::Run(ChannelRequest request,
+                                           Handler handler) {
+  const auto self = shared_from_this();
+  ExchangeResult result = co_await Exchange(request);
+  m_is_busy = false;
+  m_close_at.reset();
+  m_idle_since = BootClock().Now();
+  if (result.m_end != ExchangeEnd::kAnswered && !m_is_abandoned) {
+    Close();
+  }
+  if (result.m_end == ExchangeEnd::kBroken) {
+    Close();
+  }
+  handler(std::move(result));
+}
+
+asio::awaitable<bool> UpstreamChannel::Connect() {
+  if (m_is_connected) {
+    co_return true;
+  }
+  const auto [error] = co_await m_socket.async_connect(m_endpoint, kTuple);
+  if (error || m_is_closed) {
+    co_return false;
+  }
+  ApplySocketOptions(m_socket, kUserTimeout);
+  m_is_connected = true;
+  m_reuse_until = BootClock().Now() + kLongestIdle;
+  co_return true;
+}
+
+asio::awaitable<ExchangeResult> UpstreamChannel::Exchange(
+    const ChannelRequest& request) {
+  const bool is_open = co_await Connect();
+  if (!is_open) {
+    Close();
+    co_return ExchangeResult{ExchangeEnd::kNotSent, std::nullopt};
+  }
+  if (m_is_abandoned) {
+    co_return ExchangeResult{ExchangeEnd::kNotSent, std::nullopt};
+  }
+
+  // Send while reading, as an upstream may answer before it has read all
+  StartWrite(request.m_make_head(), request.m_body);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  parser.skip(request.m_is_head_method);
+  const auto [error, size] =
+      co_await http::async_read(m_socket, m_buffer, parser, kTuple);
+  if (error) {
+    co_return ExchangeResult{ExchangeEnd::kBroken, std::nullopt};
+  }
+
+  // Keep the connection only if nothing is left on either side of it
+  const bool is_kept = parser.keep_alive() && m_buffer.size() == 0 &&
+                       !m_is_write_pending && !m_has_write_failed;
+  UpstreamAnswer answer = parser.release();
+  const auto echoed = answer.find(m_id_header);
+  if (echoed != answer.end() && echoed->value() != request.m_request_id) {
+    co_return ExchangeResult{ExchangeEnd::kBroken, std::nullopt};
+  }
+  NoteKeepAlive(answer);
+  if (!is_kept) {
+    Close();
+  }
+  co_return ExchangeResult{ExchangeEnd::kAnswered, std::move(answer)};
+}
+
+void UpstreamChannel::StartWrite(std::string head,
+                                 std::shared_ptr<const std::string> body) {
+  const auto kept_head = std::make_shared<const std::string>(std::move(head));
+  std::array<asio::const_buffer, 2> buffers{asio::buffer(*kept_head), {}};
+  if (body != nullptr) {
+    buffers[1] = asio::buffer(*body);
+  }
+  m_is_write_pending = true;
+  asio::async_write(m_socket, buffers,
+                    [self = shared_from_this(), kept_head, body](
+                        boost::system::error_code error, std::size_t) {
+                      self->m_is_write_pending = false;
+                      self->m_has_write_failed = static_cast<bool>(error);
+                    });
+}
+
+void UpstreamChannel::NoteKeepAlive(const UpstreamAnswer& answer) {
+  Milliseconds idle_time = kLongestIdle;
+  const auto field = answer.find(http::field::keep_alive);
+  if (field != answer.end()) {
+    const auto stated = KeepAliveTime(
+        std::string_view(field->value().data(), field->value().size()));
+    if (stated) {
+      idle_time = std::min(idle_time, *stated - kKeepAliveMargin);
+    }
+  }
+  m_reuse_until = BootClock().Now() + idle_time;
+}
+
+void UpstreamChannel::Abandon(TimePoint close_at) {
+  m_is_abandoned = true;
+  m_close_at = close_at;
+}
+
+void UpstreamChannel::CloseOverdue(TimePoint now) {
+  if (m_is_closed) {
+    return;
+  }
+  const bool is_abandoned = m_is_busy && m_close_at && now >= *m_close_at;
+  const bool does_not_open =
+      m_is_busy && !m_is_connected && now >= m_connect_until;
+  const bool is_idle = !m_is_busy && now >= m_reuse_until;
+  if (is_abandoned || does_not_open || is_idle) {
+    Close();
+  }
+}
+
+void UpstreamChannel::Close() {
+  m_is_closed = true;
+  boost::system::error_code ignored;
+  m_socket.close(ignored);
+}
+
+bool UpstreamChannel::IsReusable(TimePoint now) {
+  if (!m_is_connected || now >= m_reuse_until || m_is_write_pending) {
+    return false;
+  }
+  char byte = 0;
+  const auto peeked = recv(m_socket.native_handle(), &byte, sizeof(byte),
+                           MSG_PEEK | MSG_DONTWAIT);
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/include/routing/hedge_delays.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "policy/decayed_latency.h"
+
+namespace jackdawrack {
+
+/// How long to wait for an answer before asking another replica, learned from
+/// the latencies of each route's requests.
+class HedgeDelays final {
+ public:
+  /// Part of the requests that are answered before the delay is over.
+  static constexpr double kQuantile = 0.92;
+  /// Answers needed before the quantile is used.
+  static constexpr double kLeastCount = 30;
+  /// Delay until then.
+  static constexpr Milliseconds kDefaultDelay{50};
+  /// Least delay; a hedge within one turn of the loop gains nothing.
+  static constexpr Milliseconds kLeastDelay{8};
+
+  /// Counts how long a first send took until its answer.
+  void Record(const std::string& route, Duration latency, TimePoint now);
+
+  /// The delay for requests of the route.
+  [[nodiscard]] Duration DelayFor(const std::string& route) const;
+
+ private:
+  std::unordered_map<std::string, DecayedLatency> m_latencies;
+};
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/src/published_state.cpp
@@ -0,0 +1,66 @@
+#include "routing/published_state.h"
+
+#include "core/event.h"
+
+namespace jackdawrack {
+
+bool PublishedState::TakeConfig(const RoutingConfig& config) {
+  const std::uint64_t known = m_table == nullptr ? 0 : m_table->Version();
+  if (m_table != nullptr && config.m_version <= known) {
+    return false;
+  }
+  m_table = std::make_shared<const RouteTable>(config);
+  LogEvent(EventId::kRoutesApplied, "version={} previous={} routes={}",
+           config.m_version, known, config.m_routes.size());
+  return true;
+}
+
+void PublishedState::Apply(const std::vector<PublishedChange>& changes,
+                           TimePoint now) {
+  for (const PublishedChange& change : changes) {
+    if (const auto* config = std::get_if<RoutingConfig>(&change)) {
+      TakeConfig(*config);
+    } else if (const auto* record = std::get_if<ReplicaRecord>(&change)) {
+      m_directory.Apply(*record);
+    } else if (const auto* removal = std::get_if<ReplicaRemoval>(&change)) {
+      m_directory.Remove(removal->m_id, now);
+    } else if (const auto* bad = std::get_if<UnreadableValue>(&change)) {
+      LogEvent(EventId::kPublishedValueIgnored, "key={} reason=\"{}\"",
+               bad->m_key, bad->m_reason);
+    }
+  }
+  if (!changes.empty()) {
+    Notify();
+  }
+}
+
+void PublishedState::ApplyListing(const std::vector<PublishedChange>& listing,
+                                  TimePoint now) {
+  std::vector<ReplicaRecord> records;
+  for (const PublishedChange& change : listing) {
+    if (const auto* config = std::get_if<RoutingConfig>(&change)) {
+      TakeConfig(*config);
+    } else if (const auto* record = std::get_if<ReplicaRecord>(&change)) {
+      records.push_back(*record);
+    }
+  }
+  m_directory.ApplyListing(records, now);
+  m_has_listing = true;
+  LogEvent(EventId::kReplicasListed, "listed={} known={}", records.size(),
+           m_directory.Size());
+  Notify();
+}
+
+void PublishedState::DropLapsed(TimePoint now) {
+  if (m_directory.DropLapsed(now)) {
+    Notify();
+  }
+}
+
+void PublishedState::Notify() const {
+  if (m_listener) {
+    m_listener();
+  }
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/src/replica_observation.cpp
@@ -0,0 +1,52 @@
+#include "routing/replica_observation.h"
+
+#include <cmath>
+
+namespace jackdawrack {
+namespace {
+
+using FloatMs = std::chrono::duration<double, std::milli>;
+
+Duration Blend(Duration from, Duration to, double weight) {
+  const auto step = std::chrono::duration_cast<FloatMs>(to - from) * weight;
+  return from + std::chrono::duration_cast<Duration>(step);
+}
+
+}  // namespace
+
+double ReplicaObservation::Weight(TimePoint now) const {
+  if (now <= m_last_sample) {
+    return 1;
+  }
+  const FloatMs age = now - m_last_sample;
+  return std::exp2(-age / FloatMs(kForgetHalfLife));
+}
+
+void ReplicaObservation::Fade(TimePoint now) {
+  m_latency = Latency(now);
+  m_failure_share = FailureShare(now);
+  m_last_sample = now;
+}
+
+void ReplicaObservation::Record(ExchangeVerdict verdict,
+                                Duration latency,
+                                TimePoint now) {
+  Fade(now);
+  const bool is_failure = verdict != ExchangeVerdict::kSuccess;
+  m_failure_share += kSampleWeight * ((is_failure ? 1.0 : 0.0) - m_failure_share);
+
+  // A quick failure tells nothing of how long an answer takes
+  if (!is_failure || latency > m_latency) {
+    m_latency = Blend(m_latency, latency, kSampleWeight);
+  }
+}
+
+Duration ReplicaObservation::Latency(TimePoint now) const {
+  return Blend(m_expected, m_latency, Weight(now));
+}
+
+double ReplicaObservation::FailureShare(TimePoint now) const {
+  return m_failure_share * Weight(now);
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/src/retry_budget.cpp
@@ -0,0 +1,67 @@
+#include "routing/retry_budget.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+
+namespace jackdawrack {
+
+RetryBudget::Slice& RetryBudget::SliceAt(TimePoint now) {
+  const auto length = m_settings.m_window / kSlices;
+  m_last_number = std::max<std::int64_t>(
+      m_last_number, now.time_since_epoch() / Duration(length));
+  Slice& slice =
+      m_slices[static_cast<std::size_t>(m_last_number) % m_slices.size()];
+  if (slice.m_number != m_last_number) {
+    slice = Slice{m_last_number, 0, 0};
+  }
+  return slice;
+}
+
+void RetryBudget::RecordRequest(TimePoint now) {
+  ++SliceAt(now).m_requests;
+}
+
+bool RetryBudget::TryTake(RepeatPurpose purpose,
+                          std::size_t fleet_size,
+                          TimePoint now) {
+  JR_CHECK(fleet_size >= 1);
+  Slice& current = SliceAt(now);
+
+  // Sum the window; one slice more counts for the repeats, since the window
+  // slides inside a slice
+  std::uint32_t requests = 0;
+  std::uint32_t repeats = 0;
+  for (const Slice& slice : m_slices) {
+    const std::int64_t age = m_last_number - slice.m_number;
+    if (slice.m_number < 0 || age > static_cast<std::int64_t>(kSlices)) {
+      continue;
+    }
+    repeats += slice.m_repeats;
+    if (age < static_cast<std::int64_t>(kSlices)) {
+      requests += slice.m_requests;
+    }
+  }
+
+  double allowance = m_settings.m_ratio * requests +
+                     m_settings.m_slack / static_cast<double>(fleet_size);
+  allowance *= kUsablePart;
+  if (purpose == RepeatPurpose::kHedge) {
+    allowance *= kHedgePart;
+  }
+  if (repeats + 1 > allowance) {
+    return false;
+  }
+  ++current.m_repeats;
+  return true;
+}
+
+void RetryBudget::GiveBack() {
+  Slice& slice =
+      m_slices[static_cast<std::size_t>(m_last_number) % m_slices.size()];
+  if (slice.m_repeats > 0) {
+    --slice.m_repeats;
+  }
+}
+
+}  // namespace jackdawrack
