Serve what a cancelled read had taken when a planned stop ends idle connections; test the routing decisions

Closing the listener also dropped what waited to be accepted. Ruled out: the grace time (the request came 2.5 s after SIGTERM of 6 s), the balancer's lag.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -228,7 +228,7 @@
     const Duration since = BootClock().Now() - m_stop_began;
     if (since >= kBalancerLag) {
       m_gateway.StopAccepting();
-      m_gateway.CloseIdle();
+      m_gateway.EndIdle();
       if (m_gateway.CallerConnections() == 0 ||
           since >= m_settings.m_grace - kExitMargin) {
         m_context.stop();
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -36,11 +36,11 @@
   /// Answers on with "Connection: close"; connections go on being accepted.
   void EndConnections();
 
-  /// Closes the listener and idle connections; requests that run go on.
+  /// Closes the listener; connections and requests go on.
   void StopAccepting();
 
-  /// Closes callers' connections without a request.
-  void CloseIdle();
+  /// Ends callers' connections that have waited long enough for a request.
+  void EndIdle();
 
   /// Open connections of callers.
   [[nodiscard]] std::size_t CallerConnections() const;
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -57,9 +57,7 @@
   while (m_acceptor.is_open()) {
     auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
     if (!error) {
-      m_sessions.push_back(
-          std::make_shared<CallerSession>(std::move(socket), m_service));
-      m_sessions.back()->Start();
+      Begin(std::move(socket));
       continue;
     }
     if (!m_acceptor.is_open()) {
@@ -71,9 +69,25 @@
   }
 }
 
+void CallerListener::Begin(asio::ip::tcp::socket socket) {
+  m_sessions.push_back(
+      std::make_shared<CallerSession>(std::move(socket), m_service));
+  m_sessions.back()->Start();
+}
+
 void CallerListener::StopAccepting() {
-  boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  if (!m_acceptor.is_open()) {
+    return;
+  }
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    auto socket = m_acceptor.accept(error);
+    if (!error) {
+      Begin(std::move(socket));
+    }
+  }
+  m_acceptor.close(error);
 }
 
 void CallerListener::CloseOverdue(TimePoint now) {
@@ -84,9 +98,9 @@
   }
 }
 
-void CallerListener::CloseIdle() {
+void CallerListener::EndIdle(TimePoint now, Milliseconds least_idle) {
   for (const auto& session : m_sessions) {
-    session->CloseIfIdle();
+    session->EndIfIdle(now, least_idle);
   }
 }
 
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -25,14 +25,14 @@
   /// Binds and begins to accept; the error names the address.
   NetResult<void> Start();
 
-  /// Takes no further connections.
+  /// Takes the connections that wait, and no further ones.
   void StopAccepting();
 
   /// Closes slow and idle connections and forgets closed ones.
   void CloseOverdue(TimePoint now);
 
-  /// Closes connections on which no request has begun.
-  void CloseIdle();
+  /// Ends connections that have waited for a request for `least_idle`.
+  void EndIdle(TimePoint now, Milliseconds least_idle);
 
   [[nodiscard]] std::size_t OpenConnections() const {
     return m_sessions.size();
@@ -40,6 +40,7 @@
 
  private:
   boost::asio::awaitable<void> AcceptLoop();
+  void Begin(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor m_acceptor;
   const Endpoint m_endpoint;
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -68,9 +68,10 @@
   const auto self = shared_from_this();
   const CallerLimits limits = m_service.Limits();
   m_state = m_buffer.size() > 0 ? State::kReading : State::kIdle;
-  m_overdue_at = BootClock().Now() + (m_state == State::kIdle
-                                          ? limits.m_idle_timeout
-                                          : limits.m_header_timeout);
+  m_idle_since = BootClock().Now();
+  m_overdue_at =
+      m_idle_since + (m_state == State::kIdle ? limits.m_idle_timeout
+                                              : limits.m_header_timeout);
   m_parser.emplace();
   m_parser->header_limit(limits.m_max_header_bytes);
   m_parser->body_limit(limits.m_max_body_bytes);
@@ -80,8 +81,11 @@
   while (!m_parser->is_done()) {
     const auto [error, size] = co_await http::async_read_some(
         m_socket, m_buffer, *m_parser, kTuple);
+    if (error == asio::error::operation_aborted && HasUnreadBytes()) {
+      continue;
+    }
     if (error) {
-      Refuse(error);
+      OnReadError(error);
       co_return;
     }
     const TimePoint now = BootClock().Now();
@@ -111,16 +115,20 @@
   }
 }
 
-void CallerSession::Refuse(const boost::system::error_code& error) {
+void CallerSession::OnReadError(const boost::system::error_code& error) {
   const bool is_http_error =
       error.category() ==
           http::make_error_code(http::error::bad_value).category() &&
       error != http::error::end_of_stream &&
       error != http::error::partial_message;
-  if (!is_http_error) {
+  if (is_http_error) {
+    Refuse(error);
+  } else {
     Close();
-    return;
   }
+}
+
+void CallerSession::Refuse(const boost::system::error_code& error) {
   unsigned status = kStatusBadRequest;
   if (error == http::error::body_limit) {
     status = kStatusTooLarge;
@@ -219,16 +227,30 @@
   Close();
 }
 
+bool CallerSession::HasUnreadBytes() {
+  char byte = 0;
+  return !IsClosed() && recv(m_socket.native_handle(), &byte, sizeof(byte),
+                             MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void CallerSession::CloseOverdue(TimePoint now) {
-  if (now >= m_overdue_at) {
+  if (now < m_overdue_at) {
+    return;
+  }
+  if (m_state == State::kIdle) {
+    EndIfIdle(now, Milliseconds(0));
+  } else {
     Close();
   }
 }
 
-void CallerSession::CloseIfIdle() {
-  if (m_state == State::kIdle) {
-    Close();
+void CallerSession::EndIfIdle(TimePoint now, Milliseconds least_idle) {
+  if (m_state != State::kIdle || now - m_idle_since < least_idle) {
+    return;
   }
+  // A read that has completed already goes on as if nothing had happened
+  boost::system::error_code ignored;
+  m_socket.cancel(ignored);
 }
 
 void CallerSession::Close() {
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -46,8 +46,9 @@
   /// Closes the connection if the caller is too slow or idle for too long.
   void CloseOverdue(TimePoint now);
 
-  /// Closes the connection if no byte of a request has come.
-  void CloseIfIdle();
+  /// Ends the connection if it has waited for a request for `least_idle`; a
+  /// request that has arrived by then is served.
+  void EndIfIdle(TimePoint now, Milliseconds least_idle);
 
   [[nodiscard]] bool IsClosed() const { return !m_socket.is_open(); }
 
@@ -66,7 +67,9 @@
   void OnAnswer(CallerAnswer answer);
   void WatchForLeaving();
   void OnReadable();
+  void OnReadError(const boost::system::error_code& error);
   void Refuse(const boost::system::error_code& error);
+  [[nodiscard]] bool HasUnreadBytes();
   void Close();
 
   boost::asio::ip::tcp::socket m_socket;
@@ -76,6 +79,7 @@
   std::shared_ptr<RequestRun> m_run;
   State m_state = State::kIdle;
   TimePoint m_overdue_at = TimePoint::max();
+  TimePoint m_idle_since{};
   bool m_wants_keep_alive = false;
   bool m_is_head_method = false;
   bool m_is_watching = false;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -12,6 +12,10 @@
 /// to end within half a second.
 constexpr Milliseconds kSweepPeriod{100};
 
+/// Time that a connection gets for its request before a planned stop ends it:
+/// longer than a way from the caller, shorter than the loss bound.
+constexpr Milliseconds kLeastIdle{150};
+
 }  // namespace
 
 class Gateway::Impl final {
@@ -83,8 +87,8 @@
   m_impl->m_listener.StopAccepting();
 }
 
-void Gateway::CloseIdle() {
-  m_impl->m_listener.CloseIdle();
+void Gateway::EndIdle() {
+  m_impl->m_listener.EndIdle(BootClock().Now(), kLeastIdle);
 }
 
 std::size_t Gateway::CallerConnections() const {
--- /dev/null
+++ b/packages/routing/tests/published_state_test.cpp
@@ -0,0 +1,71 @@
+#include "routing/published_state.h"
+
+#include <catch2/catch.hpp>
+
+#include "routing/connection_share.h"
+#include "routing/weighted_rotation.h"
+
+namespace jackdawrack {
+namespace {
+
+RoutingConfig MakeConfig(std::uint64_t version) {
+  RoutingConfig config;
+  config.m_version = version;
+  return config;
+}
+
+TEST_CASE("a greater version wins whatever the order of arrival") {
+  ManualClock clock;
+  PublishedState state;
+  REQUIRE_FALSE(state.IsComplete());
+  state.Apply({MakeConfig(5)}, clock.Now());
+  state.Apply({MakeConfig(3)}, clock.Now());
+  REQUIRE(state.Table()->Version() == 5);
+  state.ApplyListing({MakeConfig(4)}, clock.Now());
+  REQUIRE(state.Table()->Version() == 5);
+  REQUIRE(state.IsComplete());
+}
+
+TEST_CASE("an unreadable value changes nothing that is known") {
+  ManualClock clock;
+  PublishedState state;
+  ReplicaRecord record;
+  record.m_id = UpstreamId("a");
+  state.Apply({record, UnreadableValue{"servers/a", "state: missing"}},
+              clock.Now());
+  REQUIRE(state.Directory().Size() == 1);
+}
+
+TEST_CASE("requests are dealt by weight") {
+  WeightedRotation rotation;
+  const std::vector<WeightedService> targets = {{ServiceName("a"), 3},
+                                                {ServiceName("b"), 1}};
+  int first = 0;
+  for (int request = 0; request < 400; ++request) {
+    first += rotation.Next(targets) == ServiceName("a") ? 1 : 0;
+  }
+  REQUIRE(first == 300);
+}
+
+TEST_CASE("a target of weight 0 gets no request") {
+  WeightedRotation rotation;
+  const std::vector<WeightedService> targets = {{ServiceName("a"), 0},
+                                                {ServiceName("b"), 1}};
+  for (int request = 0; request < 100; ++request) {
+    REQUIRE(rotation.Next(targets) == ServiceName("b"));
+  }
+}
+
+TEST_CASE("the shares of a fleet fit an upstream's connections") {
+  for (const std::uint32_t limit : {26U, 31U, 62U, 110U, 430U}) {
+    const FleetSize fleet{4, 5};
+    const std::size_t sum =
+        fleet.m_home * ConnectionShare(limit, fleet, true) +
+        fleet.m_remote * ConnectionShare(limit, fleet, false);
+    REQUIRE(sum <= limit);
+  }
+  REQUIRE(ConnectionShare(62, FleetSize{30, 300}, false) == 1);
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/replica_choice_test.cpp
@@ -0,0 +1,93 @@
+#include "routing/replica_choice.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+#include "routing/replica_observation.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr ReplicaChoiceSettings kSettings;
+
+ReplicaCandidate MakeHome() {
+  ReplicaCandidate candidate;
+  candidate.m_is_home = true;
+  candidate.m_latency = Milliseconds(12);
+  candidate.m_slots = 2;
+  return candidate;
+}
+
+ReplicaCandidate MakeRemote() {
+  ReplicaCandidate candidate = MakeHome();
+  candidate.m_is_home = false;
+  candidate.m_latency = Milliseconds(36);
+  return candidate;
+}
+
+TEST_CASE("a calm replica of the own failure domain is chosen") {
+  const std::array candidates{MakeRemote(), MakeHome(), MakeRemote()};
+  for (std::size_t rotation = 0; rotation < 3; ++rotation) {
+    REQUIRE(ChooseReplica(candidates, kSettings, rotation) == 1);
+  }
+}
+
+TEST_CASE("a stalled replica is avoided") {
+  ReplicaCandidate stalled = MakeHome();
+  stalled.m_in_flight = 1;
+  stalled.m_oldest_wait = Milliseconds(60);
+  const std::array candidates{stalled, MakeRemote()};
+  REQUIRE(IsStalled(stalled));
+  REQUIRE(ChooseReplica(candidates, kSettings, 0) == 1);
+}
+
+TEST_CASE("a replica that fails half of its requests is avoided") {
+  ReplicaCandidate failing = MakeHome();
+  failing.m_failure_share = 0.5;
+  const std::array candidates{failing, MakeRemote()};
+  REQUIRE(ChooseReplica(candidates, kSettings, 0) == 1);
+}
+
+TEST_CASE("an unusable replica is never chosen") {
+  ReplicaCandidate unusable = MakeHome();
+  unusable.m_is_usable = false;
+  const std::array none{unusable, unusable};
+  REQUIRE_FALSE(ChooseReplica(none, kSettings, 0).has_value());
+  REQUIRE_FALSE(ChooseReplica({}, kSettings, 0).has_value());
+}
+
+TEST_CASE("equal replicas take turns") {
+  const std::array candidates{MakeHome(), MakeHome()};
+  REQUIRE(ChooseReplica(candidates, kSettings, 0) == 0);
+  REQUIRE(ChooseReplica(candidates, kSettings, 1) == 1);
+}
+
+TEST_CASE("an avoided replica is tried again once its failures have faded") {
+  ManualClock clock;
+  ReplicaObservation observation(Milliseconds(12));
+  for (int request = 0; request < 10; ++request) {
+    observation.Record(ExchangeVerdict::kFailed, Milliseconds(400),
+                       clock.Now());
+  }
+  ReplicaCandidate home = MakeHome();
+  const auto choose = [&] {
+    home.m_latency = observation.Latency(clock.Now());
+    home.m_failure_share = observation.FailureShare(clock.Now());
+    const std::array candidates{home, MakeRemote()};
+    return ChooseReplica(candidates, kSettings, 0);
+  };
+  REQUIRE(choose() == 1);
+  clock.Advance(ReplicaObservation::kForgetHalfLife * 6);
+  REQUIRE(choose() == 0);
+}
+
+TEST_CASE("a quick refusal does not make a replica look fast") {
+  ManualClock clock;
+  ReplicaObservation observation(Milliseconds(12));
+  observation.Record(ExchangeVerdict::kRefused, Milliseconds(1), clock.Now());
+  REQUIRE(observation.Latency(clock.Now()) >= Milliseconds(12));
+  REQUIRE(observation.FailureShare(clock.Now()) > 0);
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/replica_directory_test.cpp
@@ -0,0 +1,66 @@
+#include "routing/replica_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+ReplicaRecord MakeRecord(std::string id,
+                         std::uint64_t birth,
+                         std::uint64_t sequence) {
+  ReplicaRecord record;
+  record.m_id = UpstreamId(std::move(id));
+  record.m_service = ServiceName("s");
+  record.m_incarnation = Incarnation{birth, sequence};
+  return record;
+}
+
+TEST_CASE("a record of an older incarnation does not replace a newer one") {
+  ReplicaDirectory directory;
+  REQUIRE(directory.Apply(MakeRecord("a", 200, 1)));
+  REQUIRE_FALSE(directory.Apply(MakeRecord("a", 100, 9)));
+  REQUIRE(directory.Apply(MakeRecord("a", 200, 2)));
+  REQUIRE_FALSE(directory.Apply(MakeRecord("a", 200, 1)));
+  REQUIRE(directory.Records().front().m_incarnation == Incarnation{200, 2});
+}
+
+TEST_CASE("a removal is believed at once while the store is calm") {
+  ManualClock clock;
+  ReplicaDirectory directory;
+  directory.Apply(MakeRecord("a", 1, 1));
+  directory.Remove(UpstreamId("a"), clock.Now());
+  REQUIRE(directory.Size() == 0);
+}
+
+TEST_CASE("a record that lapsed in an outage is kept until it is overdue") {
+  ManualClock clock;
+  ReplicaDirectory directory;
+  directory.Apply(MakeRecord("lapsed", 1, 1));
+  directory.Apply(MakeRecord("back", 1, 1));
+  directory.NoteDisturbance(clock.Now());
+  directory.ApplyListing({}, clock.Now());
+  REQUIRE(directory.Size() == 2);
+
+  // One reports again, the other stays missing
+  clock.Advance(Milliseconds(1'500));
+  directory.Apply(MakeRecord("back", 1, 2));
+  REQUIRE_FALSE(directory.DropLapsed(clock.Now()));
+  clock.Advance(Milliseconds(1'000));
+  REQUIRE(directory.DropLapsed(clock.Now()));
+  REQUIRE(directory.Size() == 1);
+  REQUIRE(directory.Records().front().m_id == UpstreamId("back"));
+}
+
+TEST_CASE("a listing removes what it lacks") {
+  ManualClock clock;
+  ReplicaDirectory directory;
+  directory.Apply(MakeRecord("a", 1, 1));
+  directory.Apply(MakeRecord("b", 1, 1));
+  directory.ApplyListing({MakeRecord("b", 1, 1), MakeRecord("c", 1, 1)},
+                         clock.Now());
+  REQUIRE(directory.Size() == 2);
+  REQUIRE(directory.Records().back().m_id == UpstreamId("c"));
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/retry_budget_test.cpp
@@ -0,0 +1,87 @@
+#include "routing/retry_budget.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <vector>
+
+namespace jackdawrack {
+namespace {
+
+constexpr RetryBudgetSettings kSettings{0.2, 58, Milliseconds(10'000)};
+constexpr std::size_t kFleet = 9;
+
+TEST_CASE("without requests only this instance's part of the slack is used") {
+  ManualClock clock;
+  RetryBudget budget(kSettings);
+  std::size_t taken = 0;
+  while (budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now())) {
+    ++taken;
+  }
+  REQUIRE(taken <= 58 / kFleet);
+  REQUIRE(taken >= 4);
+}
+
+TEST_CASE("hedges leave a part of the budget to retries") {
+  ManualClock clock;
+  RetryBudget budget(kSettings);
+  for (int request = 0; request < 1000; ++request) {
+    budget.RecordRequest(clock.Now());
+  }
+  while (budget.TryTake(RepeatPurpose::kHedge, kFleet, clock.Now())) {
+  }
+  REQUIRE(budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now()));
+}
+
+TEST_CASE("a repeat that was not sent is returned") {
+  ManualClock clock;
+  RetryBudget budget(kSettings);
+  while (budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now())) {
+  }
+  budget.GiveBack();
+  REQUIRE(budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now()));
+  REQUIRE_FALSE(budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now()));
+}
+
+TEST_CASE("no sliding window of the fleet holds more repeats than allowed") {
+  // Load that stops and starts, every instance taking all that it is given
+  ManualClock clock;
+  std::vector<RetryBudget> fleet(kFleet, RetryBudget(kSettings));
+  std::deque<TimePoint> requests;
+  std::deque<TimePoint> repeats;
+  const auto window = kSettings.m_window;
+  for (int step = 0; step < 6'000; ++step) {
+    clock.Advance(Milliseconds(10));
+    const TimePoint now = clock.Now();
+    const bool is_busy = (step / 700) % 2 == 0;
+    for (RetryBudget& budget : fleet) {
+      if (is_busy && step % 3 == 0) {
+        budget.RecordRequest(now);
+        requests.push_back(now);
+      }
+      while (budget.TryTake(RepeatPurpose::kRetry, kFleet, now)) {
+        repeats.push_back(now);
+      }
+    }
+
+    // The bench counts the requests of this window, of the one before, or of
+    // the one half a window before, whichever holds most
+    std::erase_if(repeats, [&](TimePoint at) { return at <= now - window; });
+    std::erase_if(requests,
+                  [&](TimePoint at) { return at <= now - 2 * window; });
+    const auto count_from = [&](TimePoint from) {
+      return std::count_if(requests.begin(), requests.end(), [&](TimePoint at) {
+        return at > from && at <= from + window;
+      });
+    };
+    const auto counted = std::max({count_from(now - window),
+                                   count_from(now - window * 3 / 2),
+                                   count_from(now - window * 2)});
+    const double allowed = kSettings.m_ratio * static_cast<double>(counted) +
+                           kSettings.m_slack;
+    REQUIRE(static_cast<double>(repeats.size()) <= allowed);
+  }
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/route_table_test.cpp
@@ -0,0 +1,50 @@
+#include "routing/route_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+Route MakeRoute(std::string name, std::string host, std::string prefix) {
+  Route route;
+  route.m_name = std::move(name);
+  route.m_host = std::move(host);
+  route.m_prefix = std::move(prefix);
+  return route;
+}
+
+RouteTable MakeTable() {
+  RoutingConfig config;
+  config.m_version = 7;
+  config.m_routes = {MakeRoute("short", "a.example", "/x/"),
+                     MakeRoute("long", "a.example", "/x/y/"),
+                     MakeRoute("root", "b.example", "/")};
+  config.m_services = {ServiceLimits{ServiceName("s"), 26}};
+  return RouteTable(std::move(config));
+}
+
+TEST_CASE("the longest prefix that begins the path selects the route") {
+  const RouteTable table = MakeTable();
+  REQUIRE(table.Find("a.example", "/x/1")->m_name == "short");
+  REQUIRE(table.Find("a.example", "/x/y/1")->m_name == "long");
+  REQUIRE(table.Find("a.example", "/x/y")->m_name == "short");
+  REQUIRE(table.Find("b.example", "/anything")->m_name == "root");
+  REQUIRE(table.Find("b.example", "/")->m_name == "root");
+}
+
+TEST_CASE("another host, or a path outside every prefix, has no route") {
+  const RouteTable table = MakeTable();
+  REQUIRE(table.Find("c.example", "/x/1") == nullptr);
+  REQUIRE(table.Find("a.example", "/z/1") == nullptr);
+  REQUIRE(table.Find("a.example", "/x") == nullptr);
+  REQUIRE(table.Find("a.example", "") == nullptr);
+}
+
+TEST_CASE("an unknown service accepts one connection") {
+  const RouteTable table = MakeTable();
+  REQUIRE(table.ConnectionLimit(ServiceName("s")) == 26);
+  REQUIRE(table.ConnectionLimit(ServiceName("t")) == 1);
+}
+
+}  // namespace
+}  // namespace jackdawrack
