--- a/packages/config_service/include/config_service/config_service_client.h
+++ b/packages/config_service/include/config_service/config_service_client.h
@@ -31,10 +31,11 @@
 /// Reads the configuration service over HTTP; it never writes.
 class ConfigServiceClient final {
  public:
-  using ChangesHandler = std::function<void(ConfigServiceResult<ConfigServiceChanges>)>;
+  using ChangesHandler =
+      std::function<void(ConfigServiceResult<ConfigServiceChanges>)>;
 
   ConfigServiceClient(boost::asio::io_context& context,
-                 std::vector<Endpoint> addresses);
+                      std::vector<Endpoint> addresses);
   ~ConfigServiceClient();
 
   /// Waits up to `wait` for changes after `revision`; one call at a time. A
--- a/packages/config_service/src/config_service_client.cpp
+++ b/packages/config_service/src/config_service_client.cpp
@@ -12,7 +12,8 @@
 constexpr Milliseconds kReplyMargin{1000};
 constexpr std::size_t kMaxReplyBytes = 64 << 20;
 
-ConfigServiceResult<ConfigServiceChanges> DecodeChanges(const HttpReply& reply) {
+ConfigServiceResult<ConfigServiceChanges> DecodeChanges(
+    const HttpReply& reply) {
   const auto object = ParseJsonObject(reply.m_body);
   if (reply.m_status != 200 || !object) {
     return MakeError(ConfigServiceErrc::kMalformedReply,
@@ -26,7 +27,8 @@
   }
   for (const auto& item : list->as_array()) {
     if (!item.is_object()) {
-      return MakeError(ConfigServiceErrc::kMalformedReply, "a change is no object");
+      return MakeError(ConfigServiceErrc::kMalformedReply,
+                       "a change is no object");
     }
     changes.m_values.push_back(
         PublishedValue{JsonText(item.as_object(), "name"),
@@ -38,7 +40,8 @@
 
 }  // namespace
 
-class ConfigServiceClient::Impl final : public std::enable_shared_from_this<Impl> {
+class ConfigServiceClient::Impl final
+    : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& context, std::vector<Endpoint> addresses)
       : m_context(context), m_addresses(std::move(addresses)) {
@@ -69,11 +72,13 @@
   [[nodiscard]] std::uint64_t BytesReceived() const { return m_bytes; }
 
  private:
-  ConfigServiceResult<ConfigServiceChanges> OnReply(NetResult<HttpReply> reply) {
+  ConfigServiceResult<ConfigServiceChanges> OnReply(
+      NetResult<HttpReply> reply) {
     if (!reply) {
       m_client = nullptr;
       ++m_next_address;
-      return MakeError(ConfigServiceErrc::kUnreachable, reply.error().m_message);
+      return MakeError(ConfigServiceErrc::kUnreachable,
+                       reply.error().m_message);
     }
     m_bytes += reply.assume_value().m_body.size();
     return DecodeChanges(reply.assume_value());
@@ -88,14 +93,14 @@
 };
 
 ConfigServiceClient::ConfigServiceClient(boost::asio::io_context& context,
-                               std::vector<Endpoint> addresses)
+                                         std::vector<Endpoint> addresses)
     : m_impl(std::make_shared<Impl>(context, std::move(addresses))) {}
 
 ConfigServiceClient::~ConfigServiceClient() = default;
 
 void ConfigServiceClient::Watch(std::uint64_t revision,
-                           Milliseconds wait,
-                           ChangesHandler handler) {
+                                Milliseconds wait,
+                                ChangesHandler handler) {
   m_impl->Watch(revision, wait, std::move(handler));
 }
 
--- a/packages/core/include/core/event.h
+++ b/packages/core/include/core/event.h
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,12 +30,33 @@
 /// Every event that this build can log, in order of number.
 [[nodiscard]] const std::vector<EventDescription>& AllEvents();
 
-/// Sets the process name and the least urgent level written to standard error.
+/// Sets the process name and the least urgent level written.
 void ConfigureEvents(std::string_view process, EventLevel least);
 
-/// Writes one line to standard error: time, process, level, number, name, text.
+/// How lines leave a process that must never wait for its reader.
+struct EventOutputSettings {
+  /// Lines wait in memory until `FlushEvents`; otherwise each is written as it
+  /// comes.
+  bool m_is_buffered = false;
+  /// Bytes that may wait; lines beyond are dropped and counted.
+  std::size_t m_max_waiting_bytes = 256 << 10;
+  /// Lines a second of one number; those beyond are dropped and counted.
+  std::uint32_t m_max_lines_per_second = 100;
+};
+
+/// Sets how lines leave the process; called before the first event.
+void ConfigureEventOutput(EventOutputSettings settings);
+
+/// Writes one line to standard output: time, process, level, number, name and
+/// the text, which holds key=value pairs.
 void WriteEvent(EventId id, std::string_view text);
 
+/// Writes what waits, as far as the reader takes it without blocking.
+void FlushEvents();
+
+/// Lines dropped so far, for the rate, the memory or a reader that hangs.
+[[nodiscard]] std::uint64_t DroppedEvents();
+
 /// True when an event of this number would be written.
 [[nodiscard]] bool IsEventEnabled(EventId id);
 
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -1,19 +1,36 @@
 #include "core/event.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <mutex>
+#include <unordered_map>
+
+#include "core/clock.h"
 
 namespace jackdawrack {
 namespace {
 
+// Lines of one number in the current second.
+struct LineCount {
+  std::int64_t m_second = 0;
+  std::uint32_t m_lines = 0;
+};
+
 struct EventSink {
   std::mutex m_mutex;
   std::string m_process = "jackdawrack";
   std::atomic<EventLevel> m_least{EventLevel::kInfo};
+  EventOutputSettings m_output;
+  std::string m_waiting;
+  std::unordered_map<int, LineCount> m_counts;
+  std::uint64_t m_dropped = 0;
+  std::uint64_t m_reported_drops = 0;
 };
 
 EventSink& Sink() {
@@ -44,6 +61,52 @@
   return AllEvents().back();
 }
 
+// True if the reader takes a write of `PIPE_BUF` bytes without blocking.
+bool IsWritable() {
+  pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
+
+// Writes what waits in pieces that a writable pipe takes whole.
+void WriteWaiting(EventSink& sink) {
+  std::size_t written = 0;
+  while (written < sink.m_waiting.size() &&
+         (!sink.m_output.m_is_buffered || IsWritable())) {
+    const std::size_t piece =
+        std::min<std::size_t>(sink.m_waiting.size() - written, PIPE_BUF);
+    const auto size =
+        write(STDOUT_FILENO, sink.m_waiting.data() + written, piece);
+    if (size <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(size);
+  }
+  sink.m_waiting.erase(0, written);
+}
+
+// Counts the line; false if its number has had its lines of this second.
+bool TakeLine(EventSink& sink, EventId id) {
+  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+                                  SteadyClock().Now().time_since_epoch())
+                                  .count();
+  LineCount& count = sink.m_counts[static_cast<int>(id)];
+  if (count.m_second != second) {
+    count = LineCount{second, 0};
+  }
+  return ++count.m_lines <= sink.m_output.m_max_lines_per_second;
+}
+
+void AppendLine(EventSink& sink,
+                const EventDescription& event,
+                std::string_view text) {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  fmt::format_to(std::back_inserter(sink.m_waiting),
+                 "{:%FT%TZ} {} {} {} {} {}\n", now, sink.m_process,
+                 LevelName(event.m_level), static_cast<int>(event.m_id),
+                 event.m_name.substr(1), text);
+}
+
 }  // namespace
 
 const std::vector<EventDescription>& AllEvents() {
@@ -67,15 +130,44 @@
   return Describe(id).m_level >= Sink().m_least.load(std::memory_order_relaxed);
 }
 
+void ConfigureEventOutput(EventOutputSettings settings) {
+  EventSink& sink = Sink();
+  const std::lock_guard lock(sink.m_mutex);
+  sink.m_output = settings;
+}
+
 void WriteEvent(EventId id, std::string_view text) {
   const EventDescription& event = Describe(id);
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
   EventSink& sink = Sink();
   const std::lock_guard lock(sink.m_mutex);
-  fmt::print(stderr, "{:%FT%TZ} {} {} {} {} {}\n", now, sink.m_process,
-             LevelName(event.m_level), static_cast<int>(id),
-             event.m_name.substr(1), text);
+  if (sink.m_output.m_is_buffered &&
+      (!TakeLine(sink, id) ||
+       sink.m_waiting.size() >= sink.m_output.m_max_waiting_bytes)) {
+    ++sink.m_dropped;
+    return;
+  }
+  AppendLine(sink, event, text);
+  if (!sink.m_output.m_is_buffered) {
+    WriteWaiting(sink);
+  }
+}
+
+void FlushEvents() {
+  EventSink& sink = Sink();
+  const std::lock_guard lock(sink.m_mutex);
+  if (sink.m_dropped != sink.m_reported_drops &&
+      sink.m_waiting.size() < sink.m_output.m_max_waiting_bytes) {
+    AppendLine(sink, Describe(EventId::kEventsDropped),
+               fmt::format("lines={}", sink.m_dropped - sink.m_reported_drops));
+    sink.m_reported_drops = sink.m_dropped;
+  }
+  WriteWaiting(sink);
+}
+
+std::uint64_t DroppedEvents() {
+  EventSink& sink = Sink();
+  const std::lock_guard lock(sink.m_mutex);
+  return sink.m_dropped;
 }
 
 }  // namespace jackdawrack
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -70,6 +70,7 @@
   }
   jackdawrack::ConfigureEvents(settings.m_id.Text(),
                                jackdawrack::EventLevel::kInfo);
+  jackdawrack::ConfigureEventOutput({.m_is_buffered = true});
   jackdawrack::GatewayDaemon daemon(settings, path);
   return Serve(daemon);
 }
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -99,17 +99,21 @@
         m_context(1),
         m_store(m_context, m_settings.m_store),
         m_feed(m_context, m_store, m_state, MakeFeedSettings(m_settings)),
-        m_gateway(m_context, MakeGatewaySettings(m_settings), m_state),
+        m_gateway(m_context,
+                  MakeGatewaySettings(m_settings),
+                  m_state,
+                  m_metrics),
         m_readiness(
-            m_context, MakeServerSettings(m_settings.m_readiness),
+            m_context,
+            MakeServerSettings(m_settings.m_readiness),
             [this](const HttpRequest& request, const HttpServer::Reply& reply) {
               reply(AnswerReadiness(request));
             }),
-        m_operators(
-            m_context, MakeServerSettings(m_settings.m_operators),
-            [this](const HttpRequest&, const HttpServer::Reply& reply) {
-              reply(AnswerMetrics());
-            }),
+        m_operators(m_context,
+                    MakeServerSettings(m_settings.m_operators),
+                    [this](const HttpRequest&, const HttpServer::Reply& reply) {
+                      reply(AnswerMetrics());
+                    }),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_housekeeping(m_context),
         m_stop_timer(m_context) {}
@@ -135,6 +139,7 @@
     m_context.run();
     LogEvent(EventId::kProcessStopped, "running={}",
              m_gateway.CallerConnections());
+    FlushEvents();
   }
 
  private:
--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -6,12 +6,12 @@
 #include <utility>
 
 #include "config_events.h"
+#include "config_service/config_service_client.h"
 #include "control_metrics.h"
 #include "core/event.h"
 #include "core/random.h"
 #include "fleet/control_codec.h"
 #include "fleet/control_server.h"
-#include "config_service/config_service_client.h"
 #include "policy/control_policy.h"
 
 namespace jackdawrack {
@@ -194,13 +194,14 @@
       return;
     }
     m_metrics.m_platform_calls.Add();
-    m_platform.Watch(
-        read->m_after, read->m_wait,
-        [self = shared_from_this()](ConfigServiceResult<ConfigServiceChanges> changes) {
-          asio::post(self->m_strand, [self, changes = std::move(changes)] {
-            self->OnPlatform(changes);
-          });
-        });
+    m_platform.Watch(read->m_after, read->m_wait,
+                     [self = shared_from_this()](
+                         ConfigServiceResult<ConfigServiceChanges> changes) {
+                       asio::post(self->m_strand,
+                                  [self, changes = std::move(changes)] {
+                                    self->OnPlatform(changes);
+                                  });
+                     });
   }
 
   void OnPlatform(const ConfigServiceResult<ConfigServiceChanges>& changes) {
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "core/metrics.h"
 #include "gateway/gateway_settings.h"
 #include "net/net_error.h"
 #include "routing/published_state.h"
@@ -15,10 +16,11 @@
 /// only thread.
 class Gateway final {
  public:
-  /// `state` and `context` outlive the gateway.
+  /// `context`, `state` and `metrics` outlive the gateway.
   Gateway(boost::asio::io_context& context,
           GatewaySettings settings,
-          const PublishedState& state);
+          const PublishedState& state,
+          MetricsRegistry& metrics);
   ~Gateway();
 
   Gateway(const Gateway&) = delete;
--- a/packages/gateway/include/gateway/gateway_settings.h
+++ b/packages/gateway/include/gateway/gateway_settings.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 
+#include "gateway/wire_headers.h"
 #include "model/endpoint.h"
 #include "model/ids.h"
-#include "gateway/wire_headers.h"
 #include "routing/replica_choice.h"
 #include "routing/retry_budget.h"
 
@@ -19,6 +19,8 @@
   WireHeaders m_headers;
   RetryBudgetSettings m_retry_budget;
   ReplicaChoiceSettings m_replica_choice;
+  /// One in so many complete successes is logged, 1 at least.
+  std::uint64_t m_log_sample = 256;
 };
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/caller_call.cpp
+++ b/packages/gateway/src/caller_call.cpp
@@ -37,9 +37,9 @@
                               std::string_view message) {
   constexpr unsigned kStatusUnavailable = 503;
   CallerAnswer answer = MakeOwnAnswer(kStatusUnavailable, message);
-  answer.AddField("Retry-After",
-                  fmt::format("{:.3f}", static_cast<double>(retry_after.count()) /
-                                            1000.0));
+  answer.AddField(
+      "Retry-After",
+      fmt::format("{:.3f}", static_cast<double>(retry_after.count()) / 1000.0));
   return answer;
 }
 
@@ -57,11 +57,10 @@
 
 std::string MakeForwardedHead(const CallerMessage& message,
                               const WireHeaders& headers) {
-  std::string head = fmt::format("{} {} HTTP/1.1\r\n",
-                                 ToView(message.method_string()),
-                                 ToView(message.target()));
-  const auto nominated =
-      ToView(message[boost::beast::http::field::connection]);
+  std::string head =
+      fmt::format("{} {} HTTP/1.1\r\n", ToView(message.method_string()),
+                  ToView(message.target()));
+  const auto nominated = ToView(message[boost::beast::http::field::connection]);
   for (const auto& field : message) {
     const std::string_view name = ToView(field.name_string());
     const bool is_ours = boost::iequals(name, headers.m_deadline) ||
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -45,9 +45,9 @@
     m_acceptor.listen(kListenBacklog, error);
   }
   if (error) {
-    return MakeError(NetErrc::kNotSent, "cannot listen on " +
-                                            m_endpoint.ToText() + ": " +
-                                            error.message());
+    return MakeError(
+        NetErrc::kNotSent,
+        "cannot listen on " + m_endpoint.ToText() + ": " + error.message());
   }
   asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(), asio::detached);
   return boost::outcome_v2::success();
@@ -91,8 +91,7 @@
 }
 
 void CallerListener::CloseOverdue(TimePoint now) {
-  m_sessions.remove_if(
-      [](const auto& session) { return session->IsClosed(); });
+  m_sessions.remove_if([](const auto& session) { return session->IsClosed(); });
   for (const auto& session : m_sessions) {
     session->CloseOverdue(now);
   }
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -43,9 +43,9 @@
                   std::string_view(reason.data(), reason.size()));
   head += answer.m_fields;
   head += fmt::format("Content-Length: {}\r\n", answer.m_body.size());
-  head += keep ? fmt::format("Keep-Alive: timeout={}\r\n\r\n",
-                             idle.count() / 1000)
-               : "Connection: close\r\n\r\n";
+  head +=
+      keep ? fmt::format("Keep-Alive: timeout={}\r\n\r\n", idle.count() / 1000)
+           : "Connection: close\r\n\r\n";
   return head;
 }
 
@@ -79,8 +79,8 @@
 
   // Read until the request is whole
   while (!m_parser->is_done()) {
-    const auto [error, size] = co_await http::async_read_some(
-        m_socket, m_buffer, *m_parser, kTuple);
+    const auto [error, size] =
+        co_await http::async_read_some(m_socket, m_buffer, *m_parser, kTuple);
     if (error == asio::error::operation_aborted && HasUnreadBytes()) {
       continue;
     }
@@ -103,10 +103,9 @@
   m_overdue_at = TimePoint::max();
   m_wants_keep_alive = m_parser->keep_alive();
   m_is_head_method = m_parser->get().method() == http::verb::head;
-  m_run = m_service.Serve(m_parser->release(), BootClock().Now(),
-                          [self](CallerAnswer answer) {
-                            self->OnAnswer(std::move(answer));
-                          });
+  m_run = m_service.Serve(
+      m_parser->release(), BootClock().Now(),
+      [self](CallerAnswer answer) { self->OnAnswer(std::move(answer)); });
   if (m_run != nullptr) {
     m_run->Start();
   }
@@ -149,12 +148,12 @@
     return;
   }
   const bool keep = m_wants_keep_alive && m_service.KeepsConnections();
-  asio::co_spawn(m_socket.get_executor(),
-                 [self = shared_from_this(), answer = std::move(answer),
-                  keep]() mutable {
-                   return self->WriteAnswer(std::move(answer), keep);
-                 },
-                 asio::detached);
+  asio::co_spawn(
+      m_socket.get_executor(),
+      [self = shared_from_this(), answer = std::move(answer), keep]() mutable {
+        return self->WriteAnswer(std::move(answer), keep);
+      },
+      asio::detached);
 }
 
 asio::awaitable<void> CallerSession::WriteAnswer(CallerAnswer answer,
@@ -166,7 +165,8 @@
   if (!m_is_head_method) {
     buffers[1] = asio::buffer(answer.m_body);
   }
-  const auto [error, size] = co_await asio::async_write(m_socket, buffers, kTuple);
+  const auto [error, size] =
+      co_await asio::async_write(m_socket, buffers, kTuple);
   if (error) {
     Close();
     co_return;
--- a/packages/gateway/src/forward_run.cpp
+++ b/packages/gateway/src/forward_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/check.h"
+#include "request_log.h"
 
 namespace jackdawrack {
 namespace {
@@ -36,13 +37,13 @@
       m_timer(context.m_io) {}
 
 void ForwardRun::Start() {
-  m_part = std::make_shared<PartRun>(
-      m_context, m_call, m_service,
-      [weak = weak_from_this()](PartResult result) {
-        if (const auto self = weak.lock()) {
-          self->OnEnd(std::move(result));
-        }
-      });
+  m_part =
+      std::make_shared<PartRun>(m_context, m_call, m_service,
+                                [weak = weak_from_this()](PartResult result) {
+                                  if (const auto self = weak.lock()) {
+                                    self->OnEnd(std::move(result));
+                                  }
+                                });
   m_part->Start();
   WaitForTimer();
 }
@@ -89,15 +90,19 @@
 }
 
 void ForwardRun::CallerLeft() {
+  const TimePoint now = BootClock().Now();
   m_is_over = true;
   m_timer.cancel();
-  m_part->Stop(BootClock().Now());
+  m_part->Stop(now);
+  RecordFinished(m_context, {*m_call, {&m_part, 1}, 0, 0}, now);
 }
 
 void ForwardRun::Answer(CallerAnswer answer) {
   JR_CHECK(!m_is_over);
   m_is_over = true;
   m_timer.cancel();
+  RecordFinished(m_context, {*m_call, {&m_part, 1}, answer.m_status, 0},
+                 BootClock().Now());
   const AnswerHandler handler = std::move(m_handler);
   handler(std::move(answer));
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "caller_listener.h"
+#include "core/event.h"
 #include "request_router.h"
 
 namespace jackdawrack {
@@ -22,11 +23,13 @@
  public:
   Impl(boost::asio::io_context& context,
        GatewaySettings settings,
-       const PublishedState& state)
+       const PublishedState& state,
+       MetricsRegistry& metrics)
       : m_settings(std::move(settings)),
         m_state(state),
         m_replicas(context, m_settings),
-        m_router(RunContext{context, m_settings, m_replicas, m_hedge_delays},
+        m_router(RunContext{context, m_settings, m_replicas, m_hedge_delays,
+                            metrics},
                  state),
         m_listener(context, m_settings.m_callers, m_router),
         m_sweep(context) {}
@@ -47,6 +50,7 @@
       const TimePoint now = BootClock().Now();
       m_replicas.CloseOverdue(now);
       m_listener.CloseOverdue(now);
+      FlushEvents();
       ScheduleSweep();
     });
   }
@@ -62,8 +66,12 @@
 
 Gateway::Gateway(boost::asio::io_context& context,
                  GatewaySettings settings,
-                 const PublishedState& state)
-    : m_impl(std::make_unique<Impl>(context, std::move(settings), state)) {}
+                 const PublishedState& state,
+                 MetricsRegistry& metrics)
+    : m_impl(std::make_unique<Impl>(context,
+                                    std::move(settings),
+                                    state,
+                                    metrics)) {}
 
 Gateway::~Gateway() = default;
 
--- a/packages/gateway/src/gather_run.cpp
+++ b/packages/gateway/src/gather_run.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "core/check.h"
+#include "request_log.h"
 #include "routing/record_merge.h"
 
 namespace jackdawrack {
@@ -19,9 +20,10 @@
 
 GatherTiming MakeTiming(const CallerCall& call) {
   const Milliseconds target = call.m_route->m_target_latency;
-  const Milliseconds margin = std::max(
-      kCallerWayMargin, Milliseconds(static_cast<Milliseconds::rep>(
-                            static_cast<double>(target.count()) * kMarginPart)));
+  const Milliseconds margin =
+      std::max(kCallerWayMargin,
+               Milliseconds(static_cast<Milliseconds::rep>(
+                   static_cast<double>(target.count()) * kMarginPart)));
   return GatherTiming{call.m_arrived_at + target - call.m_spent_before - margin,
                       call.m_final_at};
 }
@@ -41,10 +43,10 @@
       m_call(std::move(call)),
       m_handler(std::move(handler)),
       m_timer(context.m_io),
-      m_progress(static_cast<std::uint32_t>(
-                     m_call->m_route->m_gather.m_shards.size()),
-                 m_call->m_route->m_gather.m_least_share,
-                 MakeTiming(*m_call)) {}
+      m_progress(
+          static_cast<std::uint32_t>(m_call->m_route->m_gather.m_shards.size()),
+          m_call->m_route->m_gather.m_least_share,
+          MakeTiming(*m_call)) {}
 
 void GatherRun::Start() {
   const auto& shards = m_call->m_route->m_gather.m_shards;
@@ -161,15 +163,20 @@
 }
 
 void GatherRun::CallerLeft() {
+  const TimePoint now = BootClock().Now();
   m_is_over = true;
   m_timer.cancel();
-  StopParts(BootClock().Now());
+  StopParts(now);
+  RecordFinished(m_context, {*m_call, m_parts, 0, m_progress.Missing()}, now);
 }
 
 void GatherRun::Answer(CallerAnswer answer) {
   JR_CHECK(!m_is_over);
   m_is_over = true;
   m_timer.cancel();
+  RecordFinished(m_context,
+                 {*m_call, m_parts, answer.m_status, m_progress.Missing()},
+                 BootClock().Now());
   const AnswerHandler handler = std::move(m_handler);
   handler(std::move(answer));
 }
--- a/packages/gateway/src/part_run.cpp
+++ b/packages/gateway/src/part_run.cpp
@@ -36,7 +36,8 @@
   const TimePoint now = BootClock().Now();
   m_group.Budget().RecordRequest(now);
   if (m_call->IsIdempotent()) {
-    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+    m_hedge_at =
+        now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
   }
   SendOrWait();
 }
@@ -44,7 +45,8 @@
 void PartRun::SendOrWait() {
   const TimePoint now = BootClock().Now();
   if (const auto pool = m_group.Choose(m_tried, now)) {
-    SendTo(pool, m_arrivals > 0);
+    SendTo(pool,
+           m_arrivals > 0 ? AttemptReason::kRetry : AttemptReason::kFirst);
     return;
   }
   if (!m_group.HasCandidate(m_tried, now)) {
@@ -63,13 +65,15 @@
   }
 }
 
-bool PartRun::SendTo(const std::shared_ptr<ReplicaPool>& pool, bool is_repeat) {
+bool PartRun::SendTo(const std::shared_ptr<ReplicaPool>& pool,
+                     AttemptReason reason) {
   const TimePoint now = BootClock().Now();
   if (now >= m_call->m_final_at) {
     return false;
   }
   ChannelRequest request;
-  request.m_make_head = [call = m_call, &headers = m_context.m_settings.m_headers,
+  request.m_make_head = [call = m_call,
+                         &headers = m_context.m_settings.m_headers,
                          id = pool->Record().m_id.Text()] {
     return MakeUpstreamHead(*call, headers, id, BootClock().Now());
   };
@@ -80,7 +84,11 @@
   const std::size_t index = m_attempts.size();
   m_tried.push_back(pool->Record().m_id);
   ++m_arrivals;
-  m_attempts.push_back(Attempt{pool, {}, now, is_repeat, true});
+  Attempt attempt;
+  attempt.m_pool = pool;
+  attempt.m_reason = reason;
+  attempt.m_sent_at = now;
+  m_attempts.push_back(std::move(attempt));
   m_attempts[index].m_sent =
       pool->Send(std::move(request), !m_call->IsIdempotent(),
                  [self = shared_from_this(), index](ExchangeResult result) {
@@ -90,45 +98,43 @@
 }
 
 bool PartRun::IsRunning() const {
-  return std::any_of(m_attempts.begin(), m_attempts.end(),
-                     [](const Attempt& attempt) { return attempt.m_is_running; });
+  return std::any_of(
+      m_attempts.begin(), m_attempts.end(),
+      [](const Attempt& attempt) { return attempt.IsRunning(); });
 }
 
-void PartRun::OnEnd(std::size_t index, ExchangeResult result) {
-  const TimePoint now = BootClock().Now();
-  Attempt& attempt = m_attempts[index];
-  attempt.m_is_running = false;
-  if (m_is_over) {
-    return;
-  }
-
+AttemptEnd PartRun::Classify(const ExchangeResult& result) const {
   if (result.m_end == ExchangeEnd::kNotSent) {
-    --m_arrivals;
-    if (attempt.m_is_repeat) {
-      m_group.Budget().GiveBack();
-    }
-    OnAttemptFailed(PartEnd::kNotRun, std::nullopt);
-    return;
+    return AttemptEnd::kNotSent;
   }
   if (result.m_end == ExchangeEnd::kBroken) {
-    OnAttemptFailed(PartEnd::kFailed, std::nullopt);
-    return;
+    return AttemptEnd::kFailed;
   }
-
-  // Tell refusals, failures and answers apart
   const WireHeaders& headers = m_context.m_settings.m_headers;
-  UpstreamAnswer& answer = *result.m_answer;
+  const UpstreamAnswer& answer = *result.m_answer;
   const unsigned status = answer.result_int();
-  const bool is_refused = answer.find(headers.m_not_run) != answer.end() ||
-                          status == kStatusMisdirected;
+  if (answer.find(headers.m_not_run) != answer.end() ||
+      status == kStatusMisdirected) {
+    return AttemptEnd::kRefused;
+  }
   const bool is_signed = answer.find(headers.m_signature) != answer.end();
-  if (is_refused) {
-    OnAttemptFailed(PartEnd::kNotRun, std::nullopt);
+  const bool is_repeatable_failure =
+      status >= kFirstServerError && m_call->IsIdempotent();
+  return is_signed && !is_repeatable_failure ? AttemptEnd::kAnswered
+                                             : AttemptEnd::kFailed;
+}
+
+void PartRun::OnEnd(std::size_t index, ExchangeResult result) {
+  const TimePoint now = BootClock().Now();
+  Attempt& attempt = m_attempts[index];
+  if (!attempt.IsRunning()) {
     return;
   }
-  if (!is_signed || (status >= kFirstServerError && m_call->IsIdempotent())) {
-    OnAttemptFailed(PartEnd::kFailed, is_signed ? std::move(result.m_answer)
-                                                : std::nullopt);
+  attempt.m_end = Classify(result);
+  attempt.m_ended_at = now;
+  attempt.m_status = result.m_answer ? result.m_answer->result_int() : 0;
+  if (attempt.m_end != AttemptEnd::kAnswered) {
+    OnAttemptFailed(attempt, std::move(result.m_answer));
     return;
   }
   if (index == 0) {
@@ -138,13 +144,22 @@
   Finish({PartEnd::kAnswered, std::move(result.m_answer)});
 }
 
-void PartRun::OnAttemptFailed(PartEnd end,
+void PartRun::OnAttemptFailed(const Attempt& attempt,
                               std::optional<UpstreamAnswer> answer) {
-  JR_CHECK(end != PartEnd::kAnswered);
-  if (end == PartEnd::kFailed) {
+  const AttemptEnd end = attempt.m_end;
+  JR_CHECK(end != AttemptEnd::kAnswered && end != AttemptEnd::kRunning);
+  if (end == AttemptEnd::kNotSent) {
+    --m_arrivals;
+    if (attempt.m_reason != AttemptReason::kFirst) {
+      m_group.Budget().GiveBack();
+    }
+  }
+  if (end == AttemptEnd::kFailed) {
     m_may_have_run = true;
   }
-  if (answer) {
+  const std::string& signature = m_context.m_settings.m_headers.m_signature;
+  if (end == AttemptEnd::kFailed && answer &&
+      answer->find(signature) != answer->end()) {
     m_last_failure = std::move(answer);
   }
   if (!IsRunning()) {
@@ -166,7 +181,7 @@
     if (pool != nullptr &&
         m_group.Budget().TryTake(RepeatPurpose::kRetry,
                                  m_context.m_replicas.FleetSizeTotal(), now)) {
-      SendTo(pool, true);
+      SendTo(pool, AttemptReason::kRetry);
       return;
     }
   }
@@ -193,15 +208,17 @@
                                m_context.m_replicas.FleetSizeTotal(), now);
   m_hedge_at = now + kHedgeRetryDelay;
   if (may_send) {
-    SendTo(pool, true);
-    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+    SendTo(pool, AttemptReason::kHedge);
+    m_hedge_at =
+        now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
   }
 }
 
 void PartRun::StopAttempts(TimePoint now) {
   for (Attempt& attempt : m_attempts) {
-    if (attempt.m_is_running) {
-      attempt.m_is_running = false;
+    if (attempt.IsRunning()) {
+      attempt.m_end = AttemptEnd::kAbandoned;
+      attempt.m_ended_at = now;
       attempt.m_pool->Abandon(attempt.m_sent, now);
     }
   }
--- a/packages/gateway/src/part_run.h
+++ b/packages/gateway/src/part_run.h
@@ -28,6 +28,34 @@
   [[nodiscard]] bool IsSuccess() const;
 };
 
+/// How one send of a part ended.
+enum class AttemptEnd : std::uint8_t {
+  kRunning,
+  kAnswered,
+  kRefused,
+  kFailed,
+  kNotSent,
+  /// Nobody waited for it any more.
+  kAbandoned,
+};
+
+/// Why a send was made.
+enum class AttemptReason : std::uint8_t { kFirst, kHedge, kRetry };
+
+/// One send of a part to a replica.
+struct Attempt {
+  std::shared_ptr<ReplicaPool> m_pool;
+  SentRequest m_sent;
+  AttemptReason m_reason = AttemptReason::kFirst;
+  AttemptEnd m_end = AttemptEnd::kRunning;
+  /// Status of the upstream's answer; 0 if there was none.
+  unsigned m_status = 0;
+  TimePoint m_sent_at{};
+  TimePoint m_ended_at{};
+
+  [[nodiscard]] bool IsRunning() const { return m_end == AttemptEnd::kRunning; }
+};
+
 /// Sends one call to replicas of one service until one answers: repeats what
 /// did not run, repeats and hedges what may run more than once, within the
 /// route's attempts and the budget of repeats.
@@ -62,19 +90,18 @@
   /// was not refused.
   [[nodiscard]] bool MayHaveRun() const { return m_may_have_run; }
 
- private:
-  struct Attempt {
-    std::shared_ptr<ReplicaPool> m_pool;
-    SentRequest m_sent;
-    TimePoint m_sent_at{};
-    bool m_is_repeat = false;
-    bool m_is_running = true;
-  };
+  /// All sends so far, for the log.
+  [[nodiscard]] const std::vector<Attempt>& Attempts() const {
+    return m_attempts;
+  }
 
+ private:
   void SendOrWait();
-  bool SendTo(const std::shared_ptr<ReplicaPool>& pool, bool is_repeat);
+  bool SendTo(const std::shared_ptr<ReplicaPool>& pool, AttemptReason reason);
   void OnEnd(std::size_t index, ExchangeResult result);
-  void OnAttemptFailed(PartEnd end, std::optional<UpstreamAnswer> answer);
+  [[nodiscard]] AttemptEnd Classify(const ExchangeResult& result) const;
+  void OnAttemptFailed(const Attempt& attempt,
+                       std::optional<UpstreamAnswer> answer);
   void TryAgain();
   [[nodiscard]] bool IsRunning() const;
   void Finish(PartResult result);
--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -106,10 +106,9 @@
 }
 
 void ReplicaPool::Abandon(const SentRequest& sent, TimePoint now) {
-  const auto wait =
-      std::find_if(m_waits.begin(), m_waits.end(), [&sent](const Wait& item) {
-        return item.m_serial == sent.Serial();
-      });
+  const auto wait = std::find_if(
+      m_waits.begin(), m_waits.end(),
+      [&sent](const Wait& item) { return item.m_serial == sent.Serial(); });
   const auto channel = sent.Channel().lock();
   if (wait == m_waits.end() || channel == nullptr) {
     return;
@@ -119,10 +118,9 @@
 }
 
 ReplicaPool::Wait ReplicaPool::TakeWait(std::uint64_t serial) {
-  const auto place =
-      std::find_if(m_waits.begin(), m_waits.end(), [serial](const Wait& item) {
-        return item.m_serial == serial;
-      });
+  const auto place = std::find_if(
+      m_waits.begin(), m_waits.end(),
+      [serial](const Wait& item) { return item.m_serial == serial; });
   JR_CHECK(place != m_waits.end());
   const Wait wait = *place;
   m_waits.erase(place);
@@ -154,8 +152,7 @@
   if (!(wait.m_is_abandoned && result.m_end == ExchangeEnd::kNotSent)) {
     m_observation.Record(Judge(result), now - wait.m_since, now);
   }
-  if (result.m_answer &&
-      result.m_answer->result_int() == kStatusMisdirected) {
+  if (result.m_answer && result.m_answer->result_int() == kStatusMisdirected) {
     LogEvent(EventId::kReplicaMisdirected, "upstream={} address={}",
              m_record.m_id.Text(), m_record.m_endpoint.ToText());
     Retire();
--- a/packages/gateway/src/replica_pool.h
+++ b/packages/gateway/src/replica_pool.h
@@ -89,7 +89,9 @@
   };
 
   std::shared_ptr<UpstreamChannel> TakeChannel(bool needs_fresh, TimePoint now);
-  void OnEnd(std::uint64_t serial, ExchangeResult result, const Handler& handler);
+  void OnEnd(std::uint64_t serial,
+             ExchangeResult result,
+             const Handler& handler);
   [[nodiscard]] ExchangeVerdict Judge(const ExchangeResult& result) const;
   Wait TakeWait(std::uint64_t serial);
 
--- a/packages/gateway/src/replica_set.cpp
+++ b/packages/gateway/src/replica_set.cpp
@@ -128,9 +128,10 @@
     std::erase(Group(pool->Record().m_service).Pools(), pool);
     m_retired.push_back(pool);
   }
-  LogEvent(EventId::kReplicaAppeared, "upstream={} service={} address={} domain={}",
-           record.m_id.Text(), record.m_service.Text(),
-           record.m_endpoint.ToText(), record.m_domain.Text());
+  LogEvent(EventId::kReplicaAppeared,
+           "upstream={} service={} address={} domain={}", record.m_id.Text(),
+           record.m_service.Text(), record.m_endpoint.ToText(),
+           record.m_domain.Text());
   ReplicaPoolSettings settings;
   settings.m_id_header = m_settings.m_headers.m_request_id;
   settings.m_not_run_header = m_settings.m_headers.m_not_run;
--- a/packages/gateway/src/request_run.h
+++ b/packages/gateway/src/request_run.h
@@ -28,6 +28,7 @@
                                               TimePoint now);
 
 /// Answer to a request that may have run: in time, or since the time is over.
-[[nodiscard]] CallerAnswer MakeLostAnswer(const CallerCall& call, TimePoint now);
+[[nodiscard]] CallerAnswer MakeLostAnswer(const CallerCall& call,
+                                          TimePoint now);
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/run_context.h
+++ b/packages/gateway/src/run_context.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "core/metrics.h"
 #include "gateway/gateway_settings.h"
 #include "replica_set.h"
 #include "routing/hedge_delays.h"
@@ -14,6 +15,7 @@
   const GatewaySettings& m_settings;
   ReplicaSet& m_replicas;
   HedgeDelays& m_hedge_delays;
+  MetricsRegistry& m_metrics;
 };
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/upstream_channel.cpp
+++ b/packages/gateway/src/upstream_channel.cpp
@@ -67,12 +67,13 @@
   m_is_busy = true;
   m_is_abandoned = false;
   m_connect_until = BootClock().Now() + kConnectTimeout;
-  asio::co_spawn(m_socket.get_executor(),
-                 [self = shared_from_this(), request = std::move(request),
-                  handler = std::move(handler)]() mutable {
-                   return self->Run(std::move(request), std::move(handler));
-                 },
-                 asio::detached);
+  asio::co_spawn(
+      m_socket.get_executor(),
+      [self = shared_from_this(), request = std::move(request),
+       handler = std::move(handler)]() mutable {
+        return self->Run(std::move(request), std::move(handler));
+      },
+      asio::detached);
 }
 
 asio::awaitable<void> UpstreamChannel::Run(ChannelRequest request,
--- a/packages/gateway/src/upstream_channel.h
+++ b/packages/gateway/src/upstream_channel.h
@@ -90,7 +90,8 @@
 
  private:
   boost::asio::awaitable<void> Run(ChannelRequest request, Handler handler);
-  boost::asio::awaitable<ExchangeResult> Exchange(const ChannelRequest& request);
+  boost::asio::awaitable<ExchangeResult> Exchange(
+      const ChannelRequest& request);
   boost::asio::awaitable<bool> Connect();
   void StartWrite(std::string head, std::shared_ptr<const std::string> body);
   void NoteKeepAlive(const UpstreamAnswer& answer);
--- a/packages/routing/include/routing/gather_progress.h
+++ b/packages/routing/include/routing/gather_progress.h
@@ -26,9 +26,7 @@
 /// Counts the parts of a scattered query and decides when it ends.
 class GatherProgress final {
  public:
-  GatherProgress(std::uint32_t parts,
-                 double least_share,
-                 GatherTiming timing);
+  GatherProgress(std::uint32_t parts, double least_share, GatherTiming timing);
 
   /// A part has been answered.
   void NoteCovered();
--- a/packages/routing/include/routing/hedge_delays.h
+++ b/packages/routing/include/routing/hedge_delays.h
@@ -12,9 +12,10 @@
 /// the latencies of each route's requests.
 class HedgeDelays final {
  public:
-  /// Part of the requests that are answered before the delay is over.
-  static constexpr double kQuantile = 0.92;
-  /// Answers needed before the quantile is used.
+  /// Multiple of the median latency; the median stays put when a part of the
+  /// replicas stalls, where a high quantile would grow with the stalls.
+  static constexpr double kMedianFactor = 2.0;
+  /// Answers needed before the median is used.
   static constexpr double kLeastCount = 30;
   /// Delay until then.
   static constexpr Milliseconds kDefaultDelay{50};
--- a/packages/routing/include/routing/published_change.h
+++ b/packages/routing/include/routing/published_change.h
@@ -30,10 +30,8 @@
 };
 
 /// One change of what is published.
-using PublishedChange = std::variant<RoutingConfig,
-                                     ReplicaRecord,
-                                     ReplicaRemoval,
-                                     UnreadableValue>;
+using PublishedChange =
+    std::variant<RoutingConfig, ReplicaRecord, ReplicaRemoval, UnreadableValue>;
 
 /// Changes, and the revision up to which they are complete.
 struct PublishedChanges {
--- a/packages/routing/src/record_merge.cpp
+++ b/packages/routing/src/record_merge.cpp
@@ -14,8 +14,7 @@
 
 std::string RecordMerge::Greatest(std::size_t count) {
   const std::size_t taken = std::min(count, m_records.size());
-  const auto middle =
-      m_records.begin() + static_cast<std::ptrdiff_t>(taken);
+  const auto middle = m_records.begin() + static_cast<std::ptrdiff_t>(taken);
   std::partial_sort(m_records.begin(), middle, m_records.end(),
                     std::greater<>());
 
--- a/packages/routing/src/replica_observation.cpp
+++ b/packages/routing/src/replica_observation.cpp
@@ -33,7 +33,8 @@
                                 TimePoint now) {
   Fade(now);
   const bool is_failure = verdict != ExchangeVerdict::kSuccess;
-  m_failure_share += kSampleWeight * ((is_failure ? 1.0 : 0.0) - m_failure_share);
+  m_failure_share +=
+      kSampleWeight * ((is_failure ? 1.0 : 0.0) - m_failure_share);
 
   // A quick failure tells nothing of how long an answer takes
   if (!is_failure || latency > m_latency) {
--- a/packages/routing/tests/retry_budget_test.cpp
+++ b/packages/routing/tests/retry_budget_test.cpp
@@ -74,11 +74,11 @@
         return at > from && at <= from + window;
       });
     };
-    const auto counted = std::max({count_from(now - window),
-                                   count_from(now - window * 3 / 2),
-                                   count_from(now - window * 2)});
-    const double allowed = kSettings.m_ratio * static_cast<double>(counted) +
-                           kSettings.m_slack;
+    const auto counted =
+        std::max({count_from(now - window), count_from(now - window * 3 / 2),
+                  count_from(now - window * 2)});
+    const double allowed =
+        kSettings.m_ratio * static_cast<double>(counted) + kSettings.m_slack;
     REQUIRE(static_cast<double>(repeats.size()) <= allowed);
   }
 }
