Tell stalls from slowness: a burst of late answers counts once, hedges wait until another replica pays

Cause: request lines showed that an eighth of the first sends of a calm second left the failure domain: each 200 ms pause was answered as a burst of slow samples and kept the replica looking slow for half a second; hedges were sent 2 ms before the answer they doubled. Ruled out: the connection share (no waits), the processor (0.015 of a core).

--- a/packages/gateway/src/part_run.cpp
+++ b/packages/gateway/src/part_run.cpp
@@ -202,15 +202,24 @@
     return;
   }
   const auto pool = m_group.Choose(m_tried, now);
-  const bool may_send =
-      pool != nullptr &&
-      m_group.Budget().TryTake(RepeatPurpose::kHedge,
-                               m_context.m_replicas.FleetSizeTotal(), now);
+  if (pool == nullptr) {
+    m_hedge_at = now + kHedgeRetryDelay;
+    return;
+  }
+
+  // A wait is expected to last as long again as it has lasted, so that another
+  // replica pays once the wait has come up to its latency
+  const TimePoint pays_at =
+      m_attempts.back().m_sent_at + pool->Candidate(now).m_latency * 4 / 5;
+  if (now < pays_at) {
+    m_hedge_at = pays_at;
+    return;
+  }
   m_hedge_at = now + kHedgeRetryDelay;
-  if (may_send) {
+  if (m_group.Budget().TryTake(RepeatPurpose::kHedge,
+                               m_context.m_replicas.FleetSizeTotal(), now)) {
     SendTo(pool, AttemptReason::kHedge);
-    m_hedge_at =
-        now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
   }
 }
 
--- a/packages/routing/include/routing/replica_observation.h
+++ b/packages/routing/include/routing/replica_observation.h
@@ -18,11 +18,18 @@
 /// asked; they cost a slot and may be wrong.
 class ReplicaObservation final {
  public:
-  /// Share of a new sample in the running means.
-  static constexpr double kSampleWeight = 0.15;
+  /// Share of a sample in the running mean of latency where it is slower, and
+  /// where it is faster: a replica that has recovered is used again soon.
+  static constexpr double kSlowerWeight = 0.15;
+  static constexpr double kFasterWeight = 0.4;
+  /// Share of a sample in the running share of failures.
+  static constexpr double kFailureWeight = 0.2;
+  /// Slower samples within this time of one another count once: after a stall
+  /// all that waited is answered at the same moment.
+  static constexpr Milliseconds kBurstTime{60};
   /// Time in which an observation loses half of its weight without samples, so
   /// that a replica that was avoided is tried again.
-  static constexpr Milliseconds kForgetHalfLife{1'500};
+  static constexpr Milliseconds kForgetHalfLife{800};
 
   /// `expected_latency` is assumed until the first answer.
   explicit ReplicaObservation(Duration expected_latency)
@@ -39,12 +46,14 @@
 
  private:
   [[nodiscard]] double Weight(TimePoint now) const;
+  void RecordLatency(Duration latency, TimePoint now);
   void Fade(TimePoint now);
 
   Duration m_expected;
   Duration m_latency;
   double m_failure_share = 0;
   TimePoint m_last_sample{};
+  TimePoint m_last_slower_sample{};
 };
 
 }  // namespace jackdawrack
--- a/packages/routing/src/replica_observation.cpp
+++ b/packages/routing/src/replica_observation.cpp
@@ -34,11 +34,22 @@
   Fade(now);
   const bool is_failure = verdict != ExchangeVerdict::kSuccess;
   m_failure_share +=
-      kSampleWeight * ((is_failure ? 1.0 : 0.0) - m_failure_share);
+      kFailureWeight * ((is_failure ? 1.0 : 0.0) - m_failure_share);
 
   // A quick failure tells nothing of how long an answer takes
   if (!is_failure || latency > m_latency) {
-    m_latency = Blend(m_latency, latency, kSampleWeight);
+    RecordLatency(latency, now);
+  }
+}
+
+void ReplicaObservation::RecordLatency(Duration latency, TimePoint now) {
+  if (latency <= m_latency) {
+    m_latency = Blend(m_latency, latency, kFasterWeight);
+    return;
+  }
+  if (now - m_last_slower_sample >= kBurstTime) {
+    m_latency = Blend(m_latency, latency, kSlowerWeight);
+    m_last_slower_sample = now;
   }
 }
 
--- a/packages/routing/tests/replica_choice_test.cpp
+++ b/packages/routing/tests/replica_choice_test.cpp
@@ -81,6 +81,28 @@
   REQUIRE(choose() == 0);
 }
 
+TEST_CASE("answers that come together after a stall count once") {
+  ManualClock clock;
+  ReplicaObservation observation(Milliseconds(12));
+  for (int request = 0; request < 8; ++request) {
+    observation.Record(ExchangeVerdict::kSuccess, Milliseconds(200),
+                       clock.Now());
+    clock.Advance(Milliseconds(1));
+  }
+  REQUIRE(observation.Latency(clock.Now()) < Milliseconds(80));
+}
+
+TEST_CASE("a replica that stays slow looks slow after a few answers") {
+  ManualClock clock;
+  ReplicaObservation observation(Milliseconds(12));
+  for (int request = 0; request < 6; ++request) {
+    clock.Advance(Milliseconds(100));
+    observation.Record(ExchangeVerdict::kSuccess, Milliseconds(100),
+                       clock.Now());
+  }
+  REQUIRE(observation.Latency(clock.Now()) > Milliseconds(60));
+}
+
 TEST_CASE("a quick refusal does not make a replica look fast") {
   ManualClock clock;
   ReplicaObservation observation(Milliseconds(12));
