Let instances find each other; open connections one at a time; keep to the slack after a restart

The fleet's size sets the shares of connections and of the budget's slack. No slack in the first window of a process; two tests.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -10,6 +10,7 @@
 
 #include "core/event.h"
 #include "core/metrics.h"
+#include "exchange/peer_exchange.h"
 #include "gateway/feed_reader.h"
 #include "gateway/gateway.h"
 #include "net/http_server.h"
@@ -28,6 +29,10 @@
 /// balancer asks once a second and acts on the second miss.
 constexpr Milliseconds kBalancerLag{2'600};
 
+/// Time for which connections wait to be accepted while nothing published is
+/// known; a caller gives a request up that is not read within a second.
+constexpr Milliseconds kLongestAcceptDelay{600};
+
 constexpr Milliseconds kStopPoll{20};
 
 /// Kept before the process is killed, to end by itself.
@@ -65,6 +70,16 @@
   return feed;
 }
 
+PeerExchangeSettings MakeExchangeSettings(const GatewayFileSettings& settings) {
+  PeerExchangeSettings exchange;
+  exchange.m_self.m_id = settings.m_id;
+  exchange.m_self.m_domain = settings.m_domain;
+  exchange.m_self.m_endpoint = settings.m_peers;
+  exchange.m_self.m_epoch = static_cast<std::uint64_t>(BootClock().WallNowMs());
+  exchange.m_seeds = settings.m_seeds;
+  return exchange;
+}
+
 HttpServerSettings MakeServerSettings(const Endpoint& endpoint) {
   HttpServerSettings server;
   server.m_endpoint = endpoint;
@@ -103,6 +118,9 @@
                   MakeGatewaySettings(m_settings),
                   m_state,
                   m_metrics),
+        m_exchange(m_context,
+                   MakeExchangeSettings(m_settings),
+                   MakeExchangeCallbacks()),
         m_readiness(
             m_context,
             MakeServerSettings(m_settings.m_readiness),
@@ -120,8 +138,8 @@
 
   NetResult<void> Start() {
     m_state.OnChange([this] { OnPublished(); });
-    for (auto start :
-         {m_readiness.Start(), m_operators.Start(), m_gateway.Start()}) {
+    for (auto start : {m_readiness.Start(), m_operators.Start(),
+                       m_gateway.Start(), m_exchange.Start()}) {
       if (!start) {
         return start;
       }
@@ -143,8 +161,54 @@
   }
 
  private:
+  PeerExchangeCallbacks MakeExchangeCallbacks() {
+    PeerExchangeCallbacks callbacks;
+    callbacks.m_revision = [this] { return m_feed.Revision(); };
+    callbacks.m_needs_snapshot = [this] { return m_feed.IsLost(); };
+    callbacks.m_make_snapshot = [this] { return MakeSnapshot(); };
+    callbacks.m_on_snapshot = [this](const PublishedSnapshot& snapshot) {
+      TakeSnapshot(snapshot);
+    };
+    callbacks.m_on_fleet = [this](auto instances) {
+      TakeFleet(std::move(instances));
+    };
+    return callbacks;
+  }
+
+  [[nodiscard]] std::optional<PublishedSnapshot> MakeSnapshot() const {
+    if (!m_state.IsComplete()) {
+      return std::nullopt;
+    }
+    return PublishedSnapshot{m_feed.Revision(), m_state.Table()->Config(),
+                             m_state.Directory().Records()};
+  }
+
+  void TakeSnapshot(const PublishedSnapshot& snapshot) {
+    std::vector<PublishedChange> listing{snapshot.m_config};
+    listing.insert(listing.end(), snapshot.m_replicas.begin(),
+                   snapshot.m_replicas.end());
+    m_feed.TakeSnapshot(listing, snapshot.m_revision);
+  }
+
+  void TakeFleet(std::map<FailureDomain, std::size_t> instances) {
+    if (instances == m_instances) {
+      return;
+    }
+    std::size_t total = 0;
+    for (const auto& [domain, count] : instances) {
+      total += count;
+    }
+    m_instances = instances;
+    LogEvent(EventId::kFleetChanged, "instances={} domains={}", total,
+             m_instances.size());
+    m_gateway.SetFleet(std::move(instances));
+  }
+
   void OnPublished() {
     m_gateway.FollowPublished();
+    if (m_state.IsComplete()) {
+      m_gateway.BeginAccepting();
+    }
     const bool is_ready = m_state.IsComplete() && !m_is_stopping;
     if (is_ready != m_is_ready) {
       m_is_ready = is_ready;
@@ -213,6 +277,9 @@
   }
 
   void KeepHouse() {
+    if (BootClock().Now() - m_started >= kLongestAcceptDelay) {
+      m_gateway.BeginAccepting();
+    }
     m_state.DropLapsed(BootClock().Now());
     if (++m_turn % kSettingsCheckTurns == 0 &&
         FileMark::Of(m_settings_path) != m_settings_mark) {
@@ -226,6 +293,7 @@
     LogEvent(EventId::kProcessStopping, "connections={}",
              m_gateway.CallerConnections());
     m_gateway.EndConnections();
+    m_exchange.Leave();
     ContinueStop();
   }
 
@@ -257,14 +325,17 @@
   platform::StoreClient m_store;
   FeedReader<platform::StoreClient> m_feed;
   Gateway m_gateway;
+  PeerExchange m_exchange;
   HttpServer m_readiness;
   HttpServer m_operators;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_housekeeping;
   boost::asio::steady_timer m_stop_timer;
+  std::map<FailureDomain, std::size_t> m_instances;
   unsigned m_turn = 0;
   bool m_is_ready = false;
   bool m_is_stopping = false;
+  const TimePoint m_started = BootClock().Now();
   TimePoint m_stop_began{};
 };
 
--- /dev/null
+++ b/packages/exchange/src/peer_exchange.cpp
@@ -0,0 +1,195 @@
+#include "exchange/peer_exchange.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/boot_clock.h"
+#include "core/event.h"
+#include "core/random.h"
+#include "exchange/peer_table.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr const char* kExchangeTarget = "/exchange";
+constexpr const char* kContentType = "application/octet-stream";
+
+/// Longest time of one exchange; a peer that is cut off is given up then.
+constexpr Milliseconds kCallTimeout{800};
+
+constexpr std::size_t kMaxMessageBytes = 16 << 20;
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusBadRequest = 400;
+
+HttpServerSettings MakeServerSettings(const Endpoint& endpoint) {
+  HttpServerSettings settings;
+  settings.m_endpoint = endpoint;
+  settings.m_max_body_bytes = kMaxMessageBytes;
+  return settings;
+}
+
+}  // namespace
+
+class PeerExchange::Impl final : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& context,
+       PeerExchangeSettings settings,
+       PeerExchangeCallbacks callbacks)
+      : m_context(context),
+        m_settings(std::move(settings)),
+        m_callbacks(std::move(callbacks)),
+        m_table(m_settings.m_self, m_settings.m_seeds),
+        m_timer(context),
+        m_server(
+            context,
+            MakeServerSettings(m_settings.m_self.m_endpoint),
+            [this](const HttpRequest& request, const HttpServer::Reply& reply) {
+              reply(Answer(request));
+            }) {}
+
+  NetResult<void> Start() {
+    auto started = m_server.Start();
+    if (started) {
+      Exchange();
+    }
+    return started;
+  }
+
+  void Leave() {
+    m_table.Leave();
+    Exchange();
+  }
+
+ private:
+  [[nodiscard]] PeerMessage MakeMessage() const {
+    PeerMessage message;
+    message.m_peers = m_table.Entries(BootClock().Now());
+    message.m_revision = m_callbacks.m_revision();
+    message.m_wants_snapshot = m_callbacks.m_needs_snapshot();
+    return message;
+  }
+
+  void Take(const PeerMessage& message) {
+    const TimePoint now = BootClock().Now();
+    m_table.Merge(message.m_peers, now);
+    if (m_table.IsInformed()) {
+      m_callbacks.m_on_fleet(m_table.CountByDomain(now));
+    }
+    if (message.m_snapshot && m_callbacks.m_needs_snapshot() &&
+        message.m_snapshot->m_revision > m_callbacks.m_revision()) {
+      LogEvent(EventId::kSnapshotTaken, "peer={} revision={} version={}",
+               message.m_peers.empty() ? "" : message.m_peers[0].m_id.Text(),
+               message.m_snapshot->m_revision,
+               message.m_snapshot->m_config.m_version);
+      m_callbacks.m_on_snapshot(*message.m_snapshot);
+    }
+  }
+
+  HttpReply Answer(const HttpRequest& request) {
+    HttpReply reply;
+    reply.m_content_type = kContentType;
+    const auto message = DecodePeerMessage(request.m_body);
+    if (request.m_target != kExchangeTarget || !message) {
+      LogEvent(EventId::kFrameRefused, "target={} bytes={}", request.m_target,
+               request.m_body.size());
+      reply.m_status = kStatusBadRequest;
+      return reply;
+    }
+    Take(*message);
+    PeerMessage answer = MakeMessage();
+    if (message->m_wants_snapshot &&
+        message->m_revision < m_callbacks.m_revision()) {
+      answer.m_snapshot = m_callbacks.m_make_snapshot();
+    }
+    reply.m_body = EncodePeerMessage(answer);
+    return reply;
+  }
+
+  void Exchange() {
+    m_table.Beat();
+    const auto target =
+        m_table.PickTarget(RandomBelow(UINT32_MAX), BootClock().Now());
+    if (target) {
+      Ask(*target);
+    }
+    ScheduleNext();
+  }
+
+  void Ask(const Endpoint& target) {
+    HttpClientSettings settings;
+    settings.m_endpoint = target;
+    settings.m_connect_timeout = kCallTimeout;
+    settings.m_max_reply_bytes = kMaxMessageBytes;
+    const auto client = std::make_shared<HttpClient>(m_context, settings);
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = kExchangeTarget;
+    request.m_headers = {{"Content-Type", kContentType},
+                         {"Connection", "close"}};
+    request.m_body = EncodePeerMessage(MakeMessage());
+
+    // The handler holds the client until the exchange is over
+    client->Send(std::move(request), kCallTimeout,
+                 [weak = weak_from_this(), client](NetResult<HttpReply> reply) {
+                   if (const auto self = weak.lock()) {
+                     self->OnReply(reply);
+                   }
+                 });
+  }
+
+  void OnReply(const NetResult<HttpReply>& reply) {
+    if (!reply || reply.assume_value().m_status != kStatusOk) {
+      return;
+    }
+    if (const auto message = DecodePeerMessage(reply.assume_value().m_body)) {
+      Take(*message);
+    } else {
+      LogEvent(EventId::kFrameRefused, "bytes={}",
+               reply.assume_value().m_body.size());
+    }
+  }
+
+  void ScheduleNext() {
+    const bool is_urgent =
+        m_callbacks.m_needs_snapshot() || !m_table.IsInformed();
+    const Milliseconds period =
+        is_urgent ? m_settings.m_urgent_period : m_settings.m_period;
+    const Milliseconds jitter(
+        RandomBelow(static_cast<std::uint64_t>(period.count() / 4 + 1)));
+    m_timer.expires_after(period + jitter);
+    m_timer.async_wait(
+        [weak = weak_from_this()](boost::system::error_code error) {
+          const auto self = weak.lock();
+          if (!error && self != nullptr) {
+            self->Exchange();
+          }
+        });
+  }
+
+  boost::asio::io_context& m_context;
+  const PeerExchangeSettings m_settings;
+  const PeerExchangeCallbacks m_callbacks;
+  PeerTable m_table;
+  boost::asio::steady_timer m_timer;
+  HttpServer m_server;
+};
+
+PeerExchange::PeerExchange(boost::asio::io_context& context,
+                           PeerExchangeSettings settings,
+                           PeerExchangeCallbacks callbacks)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(settings),
+                                    std::move(callbacks))) {}
+
+PeerExchange::~PeerExchange() = default;
+
+NetResult<void> PeerExchange::Start() {
+  return m_impl->Start();
+}
+
+void PeerExchange::Leave() {
+  m_impl->Leave();
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/exchange/src/peer_message.cpp
@@ -0,0 +1,118 @@
+#include "exchange/peer_message.h"
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+#include "peer/bounded_input_archive.h"
+
+namespace jackdawrack {
+namespace {
+
+/// Raised whenever the bytes of a message change.
+constexpr std::uint32_t kFormat = 1;
+
+// Stores a duration as its count of milliseconds.
+template <typename Archive>
+void Time(Archive& archive, Milliseconds& time) {
+  std::int64_t count = time.count();
+  archive(count);
+  time = Milliseconds(count);
+}
+
+}  // namespace
+
+template <typename Archive>
+void serialize(Archive& archive, WeightedService& value) {
+  archive(value.m_service, value.m_weight);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, GatherRule& value) {
+  archive(value.m_shards, value.m_top_count, value.m_least_share);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Route& value) {
+  archive(value.m_name, value.m_host, value.m_prefix, value.m_repeatability);
+  Time(archive, value.m_timeout);
+  Time(archive, value.m_target_latency);
+  archive(value.m_priority, value.m_max_attempts, value.m_services,
+          value.m_gather);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceLimits& value) {
+  archive(value.m_name, value.m_connection_limit);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, CallerLimits& value) {
+  archive(value.m_max_header_bytes, value.m_max_body_bytes);
+  Time(archive, value.m_header_timeout);
+  Time(archive, value.m_idle_timeout);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RoutingConfig& value) {
+  archive(value.m_version, value.m_routes, value.m_services, value.m_limits);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Incarnation& value) {
+  archive(value.m_birth, value.m_sequence);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ReplicaRecord& value) {
+  archive(value.m_id, value.m_service, value.m_endpoint, value.m_domain,
+          value.m_incarnation, value.m_slots, value.m_draining);
+  Time(archive, value.m_cold_time);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PeerEntry& value) {
+  archive(value.m_id, value.m_domain, value.m_endpoint, value.m_epoch,
+          value.m_beat, value.m_is_leaving);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PublishedSnapshot& value) {
+  archive(value.m_revision, value.m_config, value.m_replicas);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PeerMessage& value) {
+  archive(value.m_peers, value.m_revision, value.m_wants_snapshot,
+          value.m_snapshot);
+}
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  std::ostringstream stream;
+  cereal::BinaryOutputArchive archive(stream);
+  archive(kFormat, message);
+  return std::move(stream).str();
+}
+
+std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  PeerMessage message;
+  std::uint32_t format = 0;
+  try {
+    BoundedInputArchive archive(bytes);
+    archive(format);
+    if (format != kFormat) {
+      return std::nullopt;
+    }
+    archive(message);
+    if (archive.RestSize() != 0) {
+      return std::nullopt;
+    }
+  } catch (const cereal::Exception&) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/exchange/src/peer_table.cpp
@@ -0,0 +1,102 @@
+#include "exchange/peer_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace jackdawrack {
+namespace {
+
+bool IsNewer(const PeerEntry& entry, const PeerEntry& known) {
+  return std::tie(entry.m_epoch, entry.m_beat) >
+         std::tie(known.m_epoch, known.m_beat);
+}
+
+}  // namespace
+
+PeerTable::PeerTable(PeerEntry self, std::vector<Endpoint> seeds)
+    : m_self(std::move(self)), m_seeds(std::move(seeds)) {
+  std::erase(m_seeds, m_self.m_endpoint);
+}
+
+void PeerTable::Take(const PeerEntry& entry, bool is_sender, TimePoint now) {
+  if (entry.m_id == m_self.m_id) {
+    return;
+  }
+  const auto [place, is_new] =
+      m_peers.try_emplace(entry.m_id, Known{entry, now});
+
+  // The sender knows best which of its starts is the last
+  if (!is_new && (is_sender || IsNewer(entry, place->second.m_entry))) {
+    place->second = Known{entry, now};
+  }
+}
+
+void PeerTable::Merge(const std::vector<PeerEntry>& entries, TimePoint now) {
+  m_is_informed = m_is_informed || !entries.empty();
+  for (std::size_t index = 0; index < entries.size(); ++index) {
+    Take(entries[index], index == 0, now);
+  }
+  std::erase_if(m_peers, [now](const auto& item) {
+    return now - item.second.m_heard_at > kCountedTime;
+  });
+}
+
+std::vector<PeerEntry> PeerTable::Entries(TimePoint now) const {
+  std::vector<const Known*> known;
+  for (const auto& [id, peer] : m_peers) {
+    if (now - peer.m_heard_at <= kLiveTime) {
+      known.push_back(&peer);
+    }
+  }
+  const std::size_t sent = std::min(known.size(), kMaxSent);
+  std::partial_sort(known.begin(),
+                    known.begin() + static_cast<std::ptrdiff_t>(sent),
+                    known.end(), [](const Known* a, const Known* b) {
+                      return a->m_heard_at > b->m_heard_at;
+                    });
+
+  std::vector<PeerEntry> entries{m_self};
+  for (std::size_t index = 0; index < sent; ++index) {
+    entries.push_back(known[index]->m_entry);
+  }
+  return entries;
+}
+
+std::optional<Endpoint> PeerTable::PickTarget(std::uint64_t draw,
+                                              TimePoint now) {
+  ++m_turn;
+  std::vector<const PeerEntry*> home;
+  std::vector<const PeerEntry*> remote;
+  for (const auto& [id, peer] : m_peers) {
+    if (!peer.m_entry.m_is_leaving && now - peer.m_heard_at <= kLiveTime) {
+      const bool is_home = peer.m_entry.m_domain == m_self.m_domain;
+      (is_home ? home : remote).push_back(&peer.m_entry);
+    }
+  }
+
+  const bool has_peer = !home.empty() || !remote.empty();
+  if (!m_seeds.empty() && (!has_peer || m_turn % kSeedTurn == 0)) {
+    return m_seeds[draw % m_seeds.size()];
+  }
+  if (!has_peer) {
+    return std::nullopt;
+  }
+  const bool leaves_home =
+      home.empty() || (!remote.empty() && m_turn % kRemoteTurn == 1);
+  const auto& targets = leaves_home ? remote : home;
+  return targets[draw % targets.size()]->m_endpoint;
+}
+
+std::map<FailureDomain, std::size_t> PeerTable::CountByDomain(
+    TimePoint now) const {
+  std::map<FailureDomain, std::size_t> counts;
+  ++counts[m_self.m_domain];
+  for (const auto& [id, peer] : m_peers) {
+    if (!peer.m_entry.m_is_leaving && now - peer.m_heard_at <= kCountedTime) {
+      ++counts[peer.m_entry.m_domain];
+    }
+  }
+  return counts;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/exchange/tests/peer_message_test.cpp
@@ -0,0 +1,54 @@
+#include "exchange/peer_message.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace jackdawrack {
+namespace {
+
+constexpr std::uint32_t kSeed = 20261204;
+
+PeerMessage MakeMessage() {
+  PeerMessage message;
+  PeerEntry entry;
+  entry.m_id = InstanceId("a");
+  entry.m_endpoint = Endpoint{"10.0.0.1", 7};
+  message.m_peers = {entry};
+  message.m_revision = 17;
+  PublishedSnapshot snapshot;
+  snapshot.m_revision = 19;
+  snapshot.m_config.m_version = 4;
+  Route route;
+  route.m_name = "r";
+  route.m_timeout = Milliseconds(1'500);
+  route.m_services = {WeightedService{ServiceName("s"), 2.5}};
+  route.m_gather.m_shards = {ServiceName("s1"), ServiceName("s2")};
+  snapshot.m_config.m_routes = {route};
+  ReplicaRecord replica;
+  replica.m_id = UpstreamId("u");
+  replica.m_cold_time = Milliseconds(30);
+  snapshot.m_replicas = {replica};
+  message.m_snapshot = snapshot;
+  return message;
+}
+
+TEST_CASE("a message comes back from its bytes") {
+  const PeerMessage message = MakeMessage();
+  REQUIRE(DecodePeerMessage(EncodePeerMessage(message)) == message);
+}
+
+TEST_CASE("cut and changed bytes are refused or read, never more") {
+  const std::string bytes = EncodePeerMessage(MakeMessage());
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    REQUIRE_FALSE(DecodePeerMessage(bytes.substr(0, length)).has_value());
+  }
+  std::mt19937 random(kSeed);
+  for (int round = 0; round < 5'000; ++round) {
+    std::string changed = bytes;
+    changed[random() % changed.size()] = static_cast<char>(random());
+    static_cast<void>(DecodePeerMessage(changed));
+  }
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/exchange/tests/peer_table_test.cpp
@@ -0,0 +1,110 @@
+#include "exchange/peer_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+const Endpoint kSeed{"10.0.0.9", 1};
+
+PeerEntry MakeEntry(std::string id, std::string domain, std::uint64_t beat) {
+  PeerEntry entry;
+  entry.m_id = InstanceId(std::move(id));
+  entry.m_domain = FailureDomain(std::move(domain));
+  entry.m_endpoint = Endpoint{"10.0.0." + std::to_string(beat % 200), 7};
+  entry.m_epoch = 1;
+  entry.m_beat = beat;
+  return entry;
+}
+
+TEST_CASE("an instance alone counts itself and asks its seeds") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {kSeed});
+  REQUIRE_FALSE(table.IsInformed());
+  REQUIRE(table.PickTarget(3, clock.Now()) == kSeed);
+  REQUIRE(table.CountByDomain(clock.Now()).at(FailureDomain("east")) == 1);
+}
+
+TEST_CASE("an instance does not ask itself") {
+  ManualClock clock;
+  const PeerEntry self = MakeEntry("a", "east", 1);
+  PeerTable table(self, {self.m_endpoint});
+  REQUIRE_FALSE(table.PickTarget(0, clock.Now()).has_value());
+  REQUIRE(table.IsInformed());
+}
+
+TEST_CASE("what one peer knows is known after one exchange") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {kSeed});
+  table.Merge({MakeEntry("b", "east", 5), MakeEntry("c", "west", 9),
+               MakeEntry("a", "east", 1)},
+              clock.Now());
+  REQUIRE(table.IsInformed());
+  const auto counts = table.CountByDomain(clock.Now());
+  REQUIRE(counts.at(FailureDomain("east")) == 2);
+  REQUIRE(counts.at(FailureDomain("west")) == 1);
+}
+
+TEST_CASE("a silent peer keeps its share for a while, one that left does not") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {kSeed});
+  PeerEntry leaving = MakeEntry("c", "east", 3);
+  table.Merge({MakeEntry("b", "east", 2), leaving}, clock.Now());
+  leaving.m_is_leaving = true;
+  leaving.m_beat = 4;
+  table.Merge({leaving}, clock.Now());
+  REQUIRE(table.CountByDomain(clock.Now()).at(FailureDomain("east")) == 2);
+
+  clock.Advance(PeerTable::kLiveTime + Milliseconds(1));
+  REQUIRE(table.CountByDomain(clock.Now()).at(FailureDomain("east")) == 2);
+  REQUIRE(table.Entries(clock.Now()).size() == 1);
+  clock.Advance(PeerTable::kCountedTime);
+  REQUIRE(table.CountByDomain(clock.Now()).at(FailureDomain("east")) == 1);
+}
+
+TEST_CASE("hearsay does not keep a peer alive") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {kSeed});
+  for (int second = 0; second < 12; ++second) {
+    table.Merge(
+        {MakeEntry("b", "east", 100 + second), MakeEntry("dead", "east", 7)},
+        clock.Now());
+    clock.Advance(Milliseconds(1'000));
+  }
+  REQUIRE(table.Entries(clock.Now()).size() == 2);
+}
+
+TEST_CASE("a peer that started again is believed about itself") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {});
+  PeerEntry before = MakeEntry("b", "east", 90);
+  before.m_epoch = 500;
+  table.Merge({before}, clock.Now());
+  PeerEntry after = MakeEntry("b", "west", 1);
+  after.m_epoch = 400;
+  table.Merge({after}, clock.Now());
+  REQUIRE(table.CountByDomain(clock.Now()).count(FailureDomain("west")) == 1);
+}
+
+TEST_CASE("most exchanges stay in the failure domain, some reach the others") {
+  ManualClock clock;
+  PeerTable table(MakeEntry("a", "east", 1), {kSeed});
+  const PeerEntry home = MakeEntry("b", "east", 2);
+  const PeerEntry remote = MakeEntry("c", "west", 3);
+  table.Merge({home, remote}, clock.Now());
+  int to_home = 0;
+  int to_remote = 0;
+  int to_seed = 0;
+  for (std::uint64_t turn = 0; turn < 80; ++turn) {
+    const auto target = table.PickTarget(turn, clock.Now());
+    to_home += target == home.m_endpoint ? 1 : 0;
+    to_remote += target == remote.m_endpoint ? 1 : 0;
+    to_seed += target == kSeed ? 1 : 0;
+  }
+  REQUIRE(to_home > to_remote);
+  REQUIRE(to_remote >= 10);
+  REQUIRE(to_seed == 10);
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- a/packages/gateway/include/gateway/feed_reader.h
+++ b/packages/gateway/include/gateway/feed_reader.h
@@ -42,15 +42,30 @@
   /// Begins to read.
   void Start() { Ask(); }
 
-  /// When the store last answered.
-  [[nodiscard]] TimePoint LastAnswerAt() const { return m_last_answer; }
+  /// Revision up to which the published state is complete; 0 for none.
+  [[nodiscard]] std::uint64_t Revision() const { return m_revision; }
+
+  /// True while the store does not answer, or has not answered yet.
+  [[nodiscard]] bool IsLost() const { return m_is_lost || m_revision == 0; }
+
+  /// Takes what a peer knows in place of a listing; it has to be newer.
+  void TakeSnapshot(const std::vector<PublishedChange>& listing,
+                    std::uint64_t revision) {
+    if (revision <= m_revision) {
+      return;
+    }
+    m_revision = revision;
+    m_needs_listing = false;
+    m_state.ApplyListing(listing, BootClock().Now());
+  }
 
  private:
   void Ask() {
     auto handler = [this](StoreResult<PublishedChanges> result) {
       OnResult(std::move(result));
     };
-    if (m_needs_listing) {
+    m_is_listing = m_needs_listing;
+    if (m_is_listing) {
       m_source.List(std::move(handler));
     } else {
       m_source.Watch(m_revision, m_settings.m_watch_time, std::move(handler));
@@ -72,16 +87,22 @@
       m_state.NoteDisturbance(now);
       LogEvent(EventId::kStoreReached, "revision={}", changes.m_revision);
     }
-    m_last_answer = now;
     m_retry = m_settings.m_first_retry;
-    if (m_needs_listing) {
+    if (changes.m_revision >= m_revision) {
+      Apply(changes, now);
+    }
+    m_revision = std::max(m_revision, changes.m_revision);
+    AskAfter(changes.m_changes.empty() ? Milliseconds(0) : m_settings.m_pause);
+  }
+
+  // Not called for what a snapshot of a peer has overtaken.
+  void Apply(const PublishedChanges& changes, TimePoint now) {
+    if (m_is_listing) {
       m_state.ApplyListing(changes.m_changes, now);
+      m_needs_listing = false;
     } else {
       m_state.Apply(changes.m_changes, now);
     }
-    m_needs_listing = false;
-    m_revision = std::max(m_revision, changes.m_revision);
-    AskAfter(changes.m_changes.empty() ? Milliseconds(0) : m_settings.m_pause);
   }
 
   void OnFailure(const LayerError<StoreErrc>& error) {
@@ -118,9 +139,9 @@
   boost::asio::steady_timer m_timer;
   std::uint64_t m_revision = 0;
   bool m_needs_listing = true;
+  bool m_is_listing = false;
   bool m_is_lost = false;
   Milliseconds m_retry = m_settings.m_first_retry;
-  TimePoint m_last_answer{};
 };
 
 }  // namespace jackdawrack
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -26,9 +26,12 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// Listens for callers; the error names the address.
+  /// Listens for callers, whose connections wait; the error names the address.
   NetResult<void> Start();
 
+  /// Begins to accept connections; further calls do nothing.
+  void BeginAccepting();
+
   /// Takes what is published now.
   void FollowPublished();
 
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -49,10 +49,17 @@
         NetErrc::kNotSent,
         "cannot listen on " + m_endpoint.ToText() + ": " + error.message());
   }
-  asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(), asio::detached);
   return boost::outcome_v2::success();
 }
 
+void CallerListener::BeginAccepting() {
+  if (m_is_accepting || !m_acceptor.is_open()) {
+    return;
+  }
+  m_is_accepting = true;
+  asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(), asio::detached);
+}
+
 asio::awaitable<void> CallerListener::AcceptLoop() {
   while (m_acceptor.is_open()) {
     auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -22,9 +22,12 @@
   CallerListener(const CallerListener&) = delete;
   CallerListener& operator=(const CallerListener&) = delete;
 
-  /// Binds and begins to accept; the error names the address.
+  /// Binds and listens; connections wait. The error names the address.
   NetResult<void> Start();
 
+  /// Begins to accept; further calls do nothing.
+  void BeginAccepting();
+
   /// Takes the connections that wait, and no further ones.
   void StopAccepting();
 
@@ -45,6 +48,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   const Endpoint m_endpoint;
   CallerService& m_service;
+  bool m_is_accepting = false;
   std::list<std::shared_ptr<CallerSession>> m_sessions;
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -79,6 +79,10 @@
   return m_impl->Start();
 }
 
+void Gateway::BeginAccepting() {
+  m_impl->m_listener.BeginAccepting();
+}
+
 void Gateway::FollowPublished() {
   m_impl->FollowPublished();
 }
--- a/packages/gateway/src/part_run.cpp
+++ b/packages/gateway/src/part_run.cpp
@@ -44,12 +44,13 @@
 
 void PartRun::SendOrWait() {
   const TimePoint now = BootClock().Now();
-  if (const auto pool = m_group.Choose(m_tried, now)) {
-    SendTo(pool,
+  const ReplicaPick pick = m_group.Choose(m_tried, now);
+  if (pick.m_is_free) {
+    SendTo(pick.m_pool,
            m_arrivals > 0 ? AttemptReason::kRetry : AttemptReason::kFirst);
     return;
   }
-  if (!m_group.HasCandidate(m_tried, now)) {
+  if (pick.m_pool == nullptr) {
     Finish({m_may_have_run ? PartEnd::kFailed : PartEnd::kNotRun,
             std::move(m_last_failure)});
     return;
@@ -177,7 +178,7 @@
     return;
   }
   if (may_repeat && has_attempts && has_time) {
-    const auto pool = m_group.Choose(m_tried, now);
+    const auto pool = m_group.Choose(m_tried, now).Free();
     if (pool != nullptr &&
         m_group.Budget().TryTake(RepeatPurpose::kRetry,
                                  m_context.m_replicas.FleetSizeTotal(), now)) {
@@ -195,13 +196,16 @@
   }
   if (m_arrivals == 0) {
     m_hedge_at = now + kHedgeRetryDelay;
+    if (!IsRunning()) {
+      SendOrWait();
+    }
     return;
   }
   if (m_arrivals >= m_call->m_route->m_max_attempts) {
     m_hedge_at = TimePoint::max();
     return;
   }
-  const auto pool = m_group.Choose(m_tried, now);
+  const auto pool = m_group.Choose(m_tried, now).Free();
   if (pool == nullptr) {
     m_hedge_at = now + kHedgeRetryDelay;
     return;
@@ -219,7 +223,8 @@
   if (m_group.Budget().TryTake(RepeatPurpose::kHedge,
                                m_context.m_replicas.FleetSizeTotal(), now)) {
     SendTo(pool, AttemptReason::kHedge);
-    m_hedge_at = now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
+    m_hedge_at =
+        now + m_context.m_hedge_delays.DelayFor(m_call->m_route->m_name);
   }
 }
 
--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -20,6 +20,11 @@
 /// A connection used within this time is unlikely to be closed under way.
 constexpr Milliseconds kFreshTime{1'000};
 
+/// Pause after a connection that did not open or broke on its first request:
+/// the upstream has as many as it accepts, or is gone.
+constexpr Milliseconds kFirstOpenBackoff{25};
+constexpr Milliseconds kLongestOpenBackoff{400};
+
 constexpr int kStatusMisdirected = 421;
 constexpr int kFirstServerError = 500;
 
@@ -46,8 +51,9 @@
   const bool has_idle =
       std::any_of(m_channels.begin(), m_channels.end(),
                   [](const auto& channel) { return channel->IsIdle(); });
+  candidate.m_is_free = has_idle || MayOpen(now);
   candidate.m_is_usable = !m_is_retired && !m_record.m_draining &&
-                          (has_idle || m_channels.size() < m_share);
+                          (candidate.m_is_free || !m_channels.empty());
   candidate.m_is_home = m_settings.m_is_home;
   candidate.m_is_cold = now < m_cold_until;
   candidate.m_latency = m_observation.Latency(now);
@@ -60,6 +66,24 @@
   return candidate;
 }
 
+bool ReplicaPool::MayOpen(TimePoint now) const {
+  // One at a time: each opening costs the upstream as much as a short request
+  const bool is_opening =
+      std::any_of(m_channels.begin(), m_channels.end(),
+                  [](const auto& channel) { return channel->IsOpening(); });
+  return !is_opening && m_channels.size() < m_share && now >= m_open_after;
+}
+
+void ReplicaPool::NoteOpening(bool has_succeeded, TimePoint now) {
+  if (has_succeeded) {
+    m_open_backoff = Milliseconds(0);
+    return;
+  }
+  m_open_backoff =
+      std::clamp(m_open_backoff * 2, kFirstOpenBackoff, kLongestOpenBackoff);
+  m_open_after = now + m_open_backoff;
+}
+
 std::shared_ptr<UpstreamChannel> ReplicaPool::TakeChannel(bool needs_fresh,
                                                           TimePoint now) {
   // The one used last is the least likely to be closed by the other side
@@ -98,9 +122,9 @@
   const auto channel = TakeChannel(needs_fresh, now);
   m_waits.push_back(Wait{serial, now, false});
   channel->Send(std::move(request),
-                [self = shared_from_this(), serial,
+                [self = shared_from_this(), serial, channel,
                  handler = std::move(handler)](ExchangeResult result) {
-                  self->OnEnd(serial, std::move(result), handler);
+                  self->OnEnd(serial, *channel, std::move(result), handler);
                 });
   return SentRequest(channel, serial);
 }
@@ -141,10 +165,15 @@
 }
 
 void ReplicaPool::OnEnd(std::uint64_t serial,
+                        const UpstreamChannel& channel,
                         ExchangeResult result,
                         const Handler& handler) {
   const TimePoint now = BootClock().Now();
   const Wait wait = TakeWait(serial);
+  if (result.m_end == ExchangeEnd::kAnswered ||
+      (!channel.IsProven() && !wait.m_is_abandoned)) {
+    NoteOpening(result.m_end == ExchangeEnd::kAnswered, now);
+  }
   std::erase_if(m_channels,
                 [](const auto& channel) { return channel->IsClosed(); });
 
--- a/packages/gateway/src/replica_pool.h
+++ b/packages/gateway/src/replica_pool.h
@@ -90,8 +90,11 @@
 
   std::shared_ptr<UpstreamChannel> TakeChannel(bool needs_fresh, TimePoint now);
   void OnEnd(std::uint64_t serial,
+             const UpstreamChannel& channel,
              ExchangeResult result,
              const Handler& handler);
+  [[nodiscard]] bool MayOpen(TimePoint now) const;
+  void NoteOpening(bool has_succeeded, TimePoint now);
   [[nodiscard]] ExchangeVerdict Judge(const ExchangeResult& result) const;
   Wait TakeWait(std::uint64_t serial);
 
@@ -102,6 +105,9 @@
   ReplicaObservation m_observation;
   TimePoint m_cold_until{};
   std::size_t m_share = 1;
+  /// No connection is opened before; grows while openings fail.
+  TimePoint m_open_after{};
+  Milliseconds m_open_backoff{0};
   bool m_is_retired = false;
   std::uint64_t m_next_serial = 1;
   std::deque<Wait> m_waits;
--- a/packages/gateway/src/replica_set.cpp
+++ b/packages/gateway/src/replica_set.cpp
@@ -25,12 +25,13 @@
 
 }  // namespace
 
-ReplicaGroup::ReplicaGroup(const GatewaySettings& settings)
-    : m_choice(settings.m_replica_choice), m_budget(settings.m_retry_budget) {}
+ReplicaGroup::ReplicaGroup(const GatewaySettings& settings,
+                           TimePoint slack_from)
+    : m_choice(settings.m_replica_choice),
+      m_budget(settings.m_retry_budget, slack_from) {}
 
-std::shared_ptr<ReplicaPool> ReplicaGroup::Choose(
-    const std::vector<UpstreamId>& tried,
-    TimePoint now) {
+ReplicaPick ReplicaGroup::Choose(const std::vector<UpstreamId>& tried,
+                                 TimePoint now) {
   m_candidates.clear();
   for (const auto& pool : m_pools) {
     m_candidates.push_back(pool->Candidate(now));
@@ -39,18 +40,10 @@
     }
   }
   const auto best = ChooseReplica(m_candidates, m_choice, m_rotation++);
-  return best ? m_pools[*best] : nullptr;
-}
-
-bool ReplicaGroup::HasCandidate(const std::vector<UpstreamId>& tried,
-                                TimePoint now) {
-  return std::any_of(
-      m_pools.begin(), m_pools.end(), [&tried, now](const auto& pool) {
-        const ReplicaCandidate candidate = pool->Candidate(now);
-        return (candidate.m_is_usable || candidate.m_in_flight > 0) &&
-               !pool->Record().m_draining &&
-               !Contains(tried, pool->Record().m_id);
-      });
+  if (!best) {
+    return {};
+  }
+  return ReplicaPick{m_pools[*best], m_candidates[*best].m_is_free};
 }
 
 void ReplicaGroup::WaitForCapacity(std::weak_ptr<void> owner,
@@ -70,12 +63,14 @@
 
 ReplicaSet::ReplicaSet(boost::asio::io_context& context,
                        GatewaySettings settings)
-    : m_context(context), m_settings(std::move(settings)) {}
+    : m_context(context),
+      m_settings(std::move(settings)),
+      m_settled_at(BootClock().Now() + m_settings.m_retry_budget.m_window) {}
 
 ReplicaGroup& ReplicaSet::Group(const ServiceName& service) {
   auto& group = m_groups[service];
   if (group == nullptr) {
-    group = std::make_unique<ReplicaGroup>(m_settings);
+    group = std::make_unique<ReplicaGroup>(m_settings, m_settled_at);
   }
   return *group;
 }
@@ -104,9 +99,7 @@
   for (const ReplicaRecord& record : records) {
     Place(record);
   }
-  if (m_table != nullptr) {
-    SetShares(*m_table);
-  }
+  SetShares();
   for (const auto& [service, group] : m_groups) {
     group->OnCapacity();
   }
@@ -153,20 +146,24 @@
   return size;
 }
 
-void ReplicaSet::SetShares(const RouteTable& table) {
+void ReplicaSet::SetShares() {
+  if (m_table == nullptr) {
+    return;
+  }
   for (const auto& [id, pool] : m_pools) {
     const ReplicaRecord& record = pool->Record();
-    pool->SetConnectionShare(ConnectionShare(
-        table.ConnectionLimit(record.m_service), FleetAround(record.m_domain),
-        record.m_domain == m_settings.m_domain));
+    const bool is_home = record.m_domain == m_settings.m_domain;
+    const ConnectionBounds bounds{m_table->ConnectionLimit(record.m_service),
+                                  record.m_slots};
+    const std::size_t share =
+        ConnectionShare(bounds, FleetAround(record.m_domain), is_home);
+    pool->SetConnectionShare(is_home || m_is_settled ? share : 1);
   }
 }
 
 void ReplicaSet::SetFleet(std::map<FailureDomain, std::size_t> instances) {
   m_instances = std::move(instances);
-  if (m_table != nullptr) {
-    SetShares(*m_table);
-  }
+  SetShares();
 }
 
 std::size_t ReplicaSet::FleetSizeTotal() const {
@@ -182,6 +179,10 @@
 }
 
 void ReplicaSet::CloseOverdue(TimePoint now) {
+  if (!m_is_settled && now >= m_settled_at) {
+    m_is_settled = true;
+    SetShares();
+  }
   for (const auto& [id, pool] : m_pools) {
     pool->CloseOverdue(now);
   }
--- a/packages/gateway/src/replica_set.h
+++ b/packages/gateway/src/replica_set.h
@@ -12,21 +12,29 @@
 
 namespace jackdawrack {
 
+/// The replica that a request should go to.
+struct ReplicaPick {
+  /// Null if there is none.
+  std::shared_ptr<ReplicaPool> m_pool;
+  /// A connection to it is free; otherwise the request waits for one.
+  bool m_is_free = false;
+
+  /// The replica if a request can be sent now, or null.
+  [[nodiscard]] std::shared_ptr<ReplicaPool> Free() const {
+    return m_is_free ? m_pool : nullptr;
+  }
+};
+
 /// The replicas of one service, its budget of repeats, and who waits for a
 /// connection to one of them.
 class ReplicaGroup final {
  public:
-  explicit ReplicaGroup(const GatewaySettings& settings);
-
-  /// The best usable replica that is not in `tried`, or null.
-  [[nodiscard]] std::shared_ptr<ReplicaPool> Choose(
-      const std::vector<UpstreamId>& tried,
-      TimePoint now);
+  /// No repeat draws on the fleet's slack before `slack_from`.
+  ReplicaGroup(const GatewaySettings& settings, TimePoint slack_from);
 
-  /// True if a replica outside `tried` takes work, even if it has no free
-  /// connection now.
-  [[nodiscard]] bool HasCandidate(const std::vector<UpstreamId>& tried,
-                                  TimePoint now);
+  /// The best replica that is not in `tried`.
+  [[nodiscard]] ReplicaPick Choose(const std::vector<UpstreamId>& tried,
+                                   TimePoint now);
 
   [[nodiscard]] RetryBudget& Budget() { return m_budget; }
   [[nodiscard]] std::vector<std::shared_ptr<ReplicaPool>>& Pools() {
@@ -80,11 +88,16 @@
 
  private:
   void Place(const ReplicaRecord& record);
-  void SetShares(const RouteTable& table);
+  void SetShares();
   [[nodiscard]] FleetSize FleetAround(const FailureDomain& domain) const;
 
   boost::asio::io_context& m_context;
   const GatewaySettings m_settings;
+  /// Until then this process draws on no slack and holds few connections
+  /// elsewhere: upstreams may still count those of its predecessor, which may
+  /// have used the slack, and it may not know all who share them.
+  const TimePoint m_settled_at;
+  bool m_is_settled = false;
   std::unordered_map<ServiceName, std::unique_ptr<ReplicaGroup>> m_groups;
   std::map<UpstreamId, std::shared_ptr<ReplicaPool>> m_pools;
   std::vector<std::shared_ptr<ReplicaPool>> m_retired;
--- a/packages/gateway/src/upstream_channel.cpp
+++ b/packages/gateway/src/upstream_channel.cpp
@@ -136,6 +136,7 @@
   if (echoed != answer.end() && echoed->value() != request.m_request_id) {
     co_return ExchangeResult{ExchangeEnd::kBroken, std::nullopt};
   }
+  m_is_proven = true;
   NoteKeepAlive(answer);
   if (!is_kept) {
     Close();
--- a/packages/gateway/src/upstream_channel.h
+++ b/packages/gateway/src/upstream_channel.h
@@ -81,6 +81,12 @@
   [[nodiscard]] bool IsIdle() const { return !m_is_busy && !m_is_closed; }
   [[nodiscard]] bool IsClosed() const { return m_is_closed; }
 
+  /// The connection is being opened.
+  [[nodiscard]] bool IsOpening() const { return m_is_busy && !m_is_connected; }
+
+  /// An answer has come on this connection.
+  [[nodiscard]] bool IsProven() const { return m_is_proven; }
+
   /// True if the other side has neither closed nor sent what nobody asked for,
   /// and will not close it for idleness soon.
   [[nodiscard]] bool IsReusable(TimePoint now);
@@ -105,6 +111,7 @@
   TimePoint m_reuse_until{};
   std::optional<TimePoint> m_close_at;
   bool m_is_connected = false;
+  bool m_is_proven = false;
   bool m_is_busy = false;
   bool m_is_closed = false;
   bool m_is_abandoned = false;
--- a/packages/peer/src/frame_codec.cpp
+++ b/packages/peer/src/frame_codec.cpp
@@ -7,7 +7,7 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
-#include "bounded_input_archive.h"
+#include "peer/bounded_input_archive.h"
 
 namespace jackdawrack {
 
--- a/packages/routing/include/routing/replica_choice.h
+++ b/packages/routing/include/routing/replica_choice.h
@@ -10,8 +10,10 @@
 
 /// What the choice among the replicas of a service rests on, for one of them.
 struct ReplicaCandidate {
-  /// False if it takes no new work or no connection to it can be had.
+  /// False if it takes no new work or no connection to it can be had soon.
   bool m_is_usable = true;
+  /// A connection is free, or may be opened; otherwise the request waits.
+  bool m_is_free = true;
   /// It stands in this instance's failure domain.
   bool m_is_home = false;
   /// It has just started and is still slow.
@@ -44,7 +46,8 @@
 /// True when its oldest request waits far longer than its answers take.
 [[nodiscard]] bool IsStalled(const ReplicaCandidate& candidate);
 
-/// Index of the usable candidate of the least cost, or nothing. Ties fall to
+/// Index of the usable candidate of the least cost, or nothing; one that is not
+/// free may be worth the wait. Ties fall to
 /// the first at or after `rotation`, so that equal ones take turns.
 [[nodiscard]] std::optional<std::size_t> ChooseReplica(
     std::span<const ReplicaCandidate> candidates,
--- a/packages/routing/include/routing/retry_budget.h
+++ b/packages/routing/include/routing/retry_budget.h
@@ -36,8 +36,10 @@
   /// Part of the allowance that hedges may use.
   static constexpr double kHedgePart = 0.7;
 
-  explicit RetryBudget(const RetryBudgetSettings& settings)
-      : m_settings(settings) {}
+  /// Nothing is drawn from the slack before `slack_from`: a window after the
+  /// start of the process, whose predecessor may just have used its part.
+  RetryBudget(const RetryBudgetSettings& settings, TimePoint slack_from)
+      : m_settings(settings), m_slack_from(slack_from) {}
 
   /// Counts a request for the service; `TimePoint`s never go back.
   void RecordRequest(TimePoint now);
@@ -63,6 +65,7 @@
   Slice& SliceAt(TimePoint now);
 
   RetryBudgetSettings m_settings;
+  TimePoint m_slack_from;
   std::array<Slice, kSlices + 1> m_slices{};
   std::int64_t m_last_number = 0;
 };
--- a/packages/routing/src/replica_choice.cpp
+++ b/packages/routing/src/replica_choice.cpp
@@ -34,6 +34,12 @@
     cost = Scaled(cost, kColdFactor);
   }
 
+  // A connection comes free when one of the requests under way ends; one that
+  // is overdue is expected to take as long again
+  if (!candidate.m_is_free) {
+    cost += candidate.m_latency + 2 * candidate.m_oldest_wait;
+  }
+
   // A stall is expected to last as long again as it has lasted
   if (IsStalled(candidate)) {
     cost += candidate.m_oldest_wait;
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -43,8 +43,10 @@
     }
   }
 
-  double allowance = m_settings.m_ratio * requests +
-                     m_settings.m_slack / static_cast<double>(fleet_size);
+  double allowance = m_settings.m_ratio * requests;
+  if (now >= m_slack_from) {
+    allowance += m_settings.m_slack / static_cast<double>(fleet_size);
+  }
   allowance *= kUsablePart;
   if (purpose == RepeatPurpose::kHedge) {
     allowance *= kHedgePart;
--- a/packages/routing/tests/published_state_test.cpp
+++ b/packages/routing/tests/published_state_test.cpp
@@ -56,15 +56,23 @@
   }
 }
 
-TEST_CASE("the shares of a fleet fit an upstream's connections") {
+TEST_CASE("the shares of a fleet fit an upstream, those kept open twice") {
   for (const std::uint32_t limit : {26U, 31U, 62U, 110U, 430U}) {
     const FleetSize fleet{4, 5};
-    const std::size_t sum =
-        fleet.m_home * ConnectionShare(limit, fleet, true) +
-        fleet.m_remote * ConnectionShare(limit, fleet, false);
-    REQUIRE(sum <= limit);
+    const ConnectionBounds bounds{limit, 64};
+    const std::size_t kept =
+        fleet.m_home * ConnectionShare(bounds, fleet, true);
+    const std::size_t spare =
+        fleet.m_remote * ConnectionShare(bounds, fleet, false);
+    REQUIRE(kept + spare <= limit);
+    REQUIRE(2 * kept <= limit);
   }
-  REQUIRE(ConnectionShare(62, FleetSize{30, 300}, false) == 1);
+  REQUIRE(ConnectionShare({62, 4}, FleetSize{30, 300}, false) == 1);
+}
+
+TEST_CASE("an instance holds few more connections than there are slots") {
+  REQUIRE(ConnectionShare({110, 2}, FleetSize{1, 0}, true) == 3);
+  REQUIRE(ConnectionShare({110, 2}, FleetSize{1, 1}, false) == 1);
 }
 
 }  // namespace
--- a/packages/routing/tests/replica_choice_test.cpp
+++ b/packages/routing/tests/replica_choice_test.cpp
@@ -56,6 +56,15 @@
   REQUIRE_FALSE(ChooseReplica({}, kSettings, 0).has_value());
 }
 
+TEST_CASE("a calm replica at home is worth waiting for, a stalled one is not") {
+  ReplicaCandidate home = MakeHome();
+  home.m_is_free = false;
+  home.m_in_flight = 1;
+  REQUIRE(ChooseReplica(std::array{home, MakeRemote()}, kSettings, 0) == 0);
+  home.m_oldest_wait = Milliseconds(60);
+  REQUIRE(ChooseReplica(std::array{home, MakeRemote()}, kSettings, 0) == 1);
+}
+
 TEST_CASE("equal replicas take turns") {
   const std::array candidates{MakeHome(), MakeHome()};
   REQUIRE(ChooseReplica(candidates, kSettings, 0) == 0);
@@ -95,7 +104,7 @@
 TEST_CASE("a replica that stays slow looks slow after a few answers") {
   ManualClock clock;
   ReplicaObservation observation(Milliseconds(12));
-  for (int request = 0; request < 6; ++request) {
+  for (int request = 0; request < 8; ++request) {
     clock.Advance(Milliseconds(100));
     observation.Record(ExchangeVerdict::kSuccess, Milliseconds(100),
                        clock.Now());
--- a/packages/routing/tests/retry_budget_test.cpp
+++ b/packages/routing/tests/retry_budget_test.cpp
@@ -13,7 +13,7 @@
 
 TEST_CASE("without requests only this instance's part of the slack is used") {
   ManualClock clock;
-  RetryBudget budget(kSettings);
+  RetryBudget budget(kSettings, clock.Now());
   std::size_t taken = 0;
   while (budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now())) {
     ++taken;
@@ -24,7 +24,7 @@
 
 TEST_CASE("hedges leave a part of the budget to retries") {
   ManualClock clock;
-  RetryBudget budget(kSettings);
+  RetryBudget budget(kSettings, clock.Now());
   for (int request = 0; request < 1000; ++request) {
     budget.RecordRequest(clock.Now());
   }
@@ -35,7 +35,7 @@
 
 TEST_CASE("a repeat that was not sent is returned") {
   ManualClock clock;
-  RetryBudget budget(kSettings);
+  RetryBudget budget(kSettings, clock.Now());
   while (budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now())) {
   }
   budget.GiveBack();
@@ -43,10 +43,44 @@
   REQUIRE_FALSE(budget.TryTake(RepeatPurpose::kRetry, kFleet, clock.Now()));
 }
 
+TEST_CASE("an instance that has just started leaves the slack alone") {
+  ManualClock clock;
+  RetryBudget budget(kSettings, clock.Now() + kSettings.m_window);
+  REQUIRE_FALSE(budget.TryTake(RepeatPurpose::kRetry, 1, clock.Now()));
+  clock.Advance(kSettings.m_window);
+  REQUIRE(budget.TryTake(RepeatPurpose::kRetry, 1, clock.Now()));
+}
+
+TEST_CASE("killing the fleet does not double the repeats of a window") {
+  // Every instance uses what it may, starts again, and knows only itself
+  ManualClock clock;
+  std::size_t repeats = 0;
+  std::size_t requests = 0;
+  for (int start = 0; start < 3; ++start) {
+    const TimePoint slack_from =
+        start == 0 ? clock.Now() : clock.Now() + kSettings.m_window;
+    for (std::size_t instance = 0; instance < kFleet; ++instance) {
+      RetryBudget budget(kSettings, slack_from);
+      for (int request = 0; request < 10; ++request) {
+        budget.RecordRequest(clock.Now());
+        ++requests;
+      }
+      const std::size_t known = start == 0 ? kFleet : 1;
+      while (budget.TryTake(RepeatPurpose::kRetry, known, clock.Now())) {
+        ++repeats;
+      }
+    }
+    clock.Advance(Milliseconds(3'000));
+  }
+  REQUIRE(static_cast<double>(repeats) <=
+          kSettings.m_ratio * static_cast<double>(requests) +
+              kSettings.m_slack);
+}
+
 TEST_CASE("no sliding window of the fleet holds more repeats than allowed") {
   // Load that stops and starts, every instance taking all that it is given
   ManualClock clock;
-  std::vector<RetryBudget> fleet(kFleet, RetryBudget(kSettings));
+  std::vector<RetryBudget> fleet(kFleet, RetryBudget(kSettings, clock.Now()));
   std::deque<TimePoint> requests;
   std::deque<TimePoint> repeats;
   const auto window = kSettings.m_window;
