--- a/packages/gateway/src/forward_run.cpp
+++ b/packages/gateway/src/forward_run.cpp
@@ -37,13 +37,19 @@
       m_timer(context.m_io) {}
 
 void ForwardRun::Start() {
-  m_part =
-      std::make_shared<PartRun>(m_context, m_call, m_service,
-                                [weak = weak_from_this()](PartResult result) {
-                                  if (const auto self = weak.lock()) {
-                                    self->OnEnd(std::move(result));
-                                  }
-                                });
+  m_part = std::make_shared<PartRun>(
+      m_context, m_call, m_service,
+      [weak = weak_from_this()](PartResult result) {
+        if (const auto self = weak.lock()) {
+          self->OnEnd(std::move(result));
+        }
+      },
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->m_is_started) {
+          self->WaitForTimer();
+        }
+      });
   m_part->Start();
   m_is_started = true;
   WaitForTimer();
