--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -99,12 +99,13 @@
 void AppendLine(EventSink& sink,
                 const EventDescription& event,
                 std::string_view text) {
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+  const auto now = std::chrono::time_point_cast<Milliseconds>(
       std::chrono::system_clock::now());
-  fmt::format_to(std::back_inserter(sink.m_waiting),
-                 "{:%FT%TZ} {} {} {} {} {}\n", now, sink.m_process,
-                 LevelName(event.m_level), static_cast<int>(event.m_id),
-                 event.m_name.substr(1), text);
+  const auto second = std::chrono::time_point_cast<std::chrono::seconds>(now);
+  fmt::format_to(
+      std::back_inserter(sink.m_waiting), "{:%FT%T}.{:03}Z {} {} {} {} {}\n",
+      second, (now - second).count(), sink.m_process, LevelName(event.m_level),
+      static_cast<int>(event.m_id), event.m_name.substr(1), text);
 }
 
 }  // namespace
--- a/packages/daemon/include/daemon/gateway_daemon.h
+++ b/packages/daemon/include/daemon/gateway_daemon.h
@@ -3,8 +3,8 @@
 #include <memory>
 #include <string>
 
-#include "daemon/gateway_file_settings.h"
 #include "net/net_error.h"
+#include "routing/gateway_file_settings.h"
 
 namespace jackdawrack {
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -70,7 +70,9 @@
   }
   jackdawrack::ConfigureEvents(settings.m_id.Text(),
                                jackdawrack::EventLevel::kInfo);
-  jackdawrack::ConfigureEventOutput({.m_is_buffered = true});
+  jackdawrack::ConfigureEventOutput(
+      {.m_is_buffered = true,
+       .m_max_lines_per_second = settings.m_log_lines_per_second});
   jackdawrack::GatewayDaemon daemon(settings, path);
   return Serve(daemon);
 }
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -60,6 +60,7 @@
   gateway.m_callers = settings.m_callers;
   gateway.m_headers = PlatformHeaders();
   gateway.m_retry_budget = settings.m_retry_budget;
+  gateway.m_log_sample = settings.m_log_sample;
   return gateway;
 }
 
--- a/packages/gateway/include/gateway/gateway_settings.h
+++ b/packages/gateway/include/gateway/gateway_settings.h
@@ -20,7 +20,7 @@
   RetryBudgetSettings m_retry_budget;
   ReplicaChoiceSettings m_replica_choice;
   /// One in so many complete successes is logged, 1 at least.
-  std::uint64_t m_log_sample = 4;
+  std::uint64_t m_log_sample = 64;
 };
 
 }  // namespace jackdawrack
--- a/packages/daemon/include/daemon/gateway_file_settings.h
+++ b/packages/routing/include/routing/gateway_file_settings.h
@@ -33,6 +33,11 @@
   /// Time from the signal to stop until the process is killed.
   Milliseconds m_grace{6'000};
 
+  /// One in so many complete successes is logged.
+  std::uint64_t m_log_sample = 64;
+  /// Lines a second of one event; those beyond are counted and left out.
+  std::uint32_t m_log_lines_per_second = 100;
+
   friend bool operator==(const GatewayFileSettings&,
                          const GatewayFileSettings&) = default;
 
--- a/packages/daemon/src/gateway_file_settings.cpp
+++ b/packages/routing/src/gateway_file_settings.cpp
@@ -1,4 +1,4 @@
-#include "daemon/gateway_file_settings.h"
+#include "routing/gateway_file_settings.h"
 
 #include <sstream>
 
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxMs = 3'600'000;
+constexpr std::uint64_t kMaxSample = 1'000'000;
+constexpr std::uint64_t kMaxLinesPerSecond = 100'000;
 constexpr std::uint64_t kMaxSlack = 1'000'000;
 
 Endpoint ReadEndpoint(IniSectionReader& reader, const char* key) {
@@ -53,8 +55,8 @@
     const std::string& text,
     std::vector<IniProblem>& problems) {
   const IniDocument document = IniDocument::Parse(file, text, problems);
-  document.RefuseUnknownSections({"gateway", "listen", "store", "bounds"},
-                                 problems);
+  document.RefuseUnknownSections(
+      {"gateway", "listen", "store", "bounds", "log"}, problems);
   document.CheckNames({}, problems);
   GatewayFileSettings settings;
 
@@ -92,6 +94,15 @@
   if (settings.m_retry_budget.m_window <= Milliseconds(0)) {
     bounds.Refuse("repeat_window_s", "has to be more than 0");
   }
+
+  // Read how much is logged
+  IniSectionReader log(file, document.FindOrEmpty("log"), problems);
+  settings.m_log_sample = log.Number(
+      "sample_one_in", NumberBounds{1, kMaxSample}, settings.m_log_sample);
+  settings.m_log_lines_per_second = static_cast<std::uint32_t>(
+      log.Number("lines_per_second", NumberBounds{1, kMaxLinesPerSecond},
+                 settings.m_log_lines_per_second));
+  log.RefuseUnknownKeys();
   return settings;
 }
 
--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -50,6 +50,7 @@
   /// False if the instance is not ready in time.
   bool WaitReady(std::size_t instance, int timeout_ms = 5'000);
   [[nodiscard]] std::string SettingsPath(std::size_t instance) const;
+  [[nodiscard]] std::string LogPath(std::size_t instance) const;
   [[nodiscard]] std::string LogText(std::size_t instance) const;
   [[nodiscard]] std::string Metrics(std::size_t instance) const;
 
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -112,7 +112,7 @@
   m_members[instance].m_process = std::make_unique<ChildProcess>(
       std::string(JACKDAWRACK_BIN_DIR) + "/jackdawrackd",
       std::vector<std::string>{"--settings", SettingsPath(instance)},
-      fmt::format("{}/i{}.log", m_folder, instance));
+      LogPath(instance));
 }
 
 ChildProcess& GatewayFleet::Process(std::size_t instance) {
@@ -148,7 +148,11 @@
 }
 
 std::string GatewayFleet::LogText(std::size_t instance) const {
-  return ReadFile(fmt::format("{}/i{}.log", m_folder, instance));
+  return ReadFile(LogPath(instance));
+}
+
+std::string GatewayFleet::LogPath(std::size_t instance) const {
+  return fmt::format("{}/i{}.log", m_folder, instance);
 }
 
 std::string GatewayFleet::Metrics(std::size_t instance) const {
--- a/packages/tool/include/tool/explain_command.h
+++ b/packages/tool/include/tool/explain_command.h
@@ -15,8 +15,12 @@
   ExitCode Run();
 
  private:
+  ExitCode ExplainFromInstances();
+  [[nodiscard]] ExitCode ExplainFromLogs() const;
+
   std::string m_request;
   std::vector<std::string> m_at;
+  std::vector<std::string> m_logs;
 };
 
 static_assert(Command<ExplainCommand>);
--- a/packages/tool/src/check_command.cpp
+++ b/packages/tool/src/check_command.cpp
@@ -10,6 +10,7 @@
 #include "model/contract.h"
 #include "model/instance.h"
 #include "model/instance_settings.h"
+#include "routing/gateway_file_settings.h"
 
 namespace jackdawrack {
 namespace {
@@ -23,7 +24,9 @@
     problems = syntax;
     return;
   }
-  if (!document.All("contract").empty()) {
+  if (GatewayFileSettings::IsMeant(document)) {
+    GatewayFileSettings::Parse(path, text, problems);
+  } else if (!document.All("contract").empty()) {
     Contract::Parse(path, text, problems);
   } else if (!document.All("collection").empty()) {
     CollectionMap::Parse(path, text, problems);
@@ -32,10 +35,10 @@
   } else if (!document.All("instance").empty()) {
     (void)ParseInstanceList(path, text, problems);
   } else {
-    problems.push_back(IniProblem{
-        path, "", "",
-        "accepted is a file with a section [contract], [collection], [listen] "
-        "or [instance NAME]"});
+    problems.push_back(
+        IniProblem{path, "", "",
+                   "accepted is a file with a section [gateway], [contract], "
+                   "[collection], [listen] or [instance NAME]"});
   }
 }
 
--- a/packages/tool/src/endpoint_option.cpp
+++ b/packages/tool/src/endpoint_option.cpp
@@ -14,8 +14,8 @@
       "IP:PORT");
 }
 
-void DeclareInstances(CLI::App& command, std::vector<std::string>& at) {
-  command
+CLI::Option* DeclareInstances(CLI::App& command, std::vector<std::string>& at) {
+  return command
       .add_option("--at", at,
                   "IP:PORT of an instance's operators' listener; may be "
                   "repeated")
--- a/packages/tool/src/endpoint_option.h
+++ b/packages/tool/src/endpoint_option.h
@@ -11,8 +11,8 @@
 /// Accepts IP:PORT; the message names what is accepted.
 [[nodiscard]] CLI::Validator EndpointValidator();
 
-/// Declares `--at`, which may be repeated, for operators' listeners.
-void DeclareInstances(CLI::App& command, std::vector<std::string>& at);
+/// Declares `--at`, required and repeatable, for operators' listeners.
+CLI::Option* DeclareInstances(CLI::App& command, std::vector<std::string>& at);
 
 /// The endpoints of texts that `EndpointValidator` has accepted.
 [[nodiscard]] std::vector<Endpoint> ToEndpoints(
--- a/packages/tool/src/explain_command.cpp
+++ b/packages/tool/src/explain_command.cpp
@@ -8,6 +8,7 @@
 #include "model/request_id.h"
 #include "net/json.h"
 #include "tool/instance_reading.h"
+#include "tool/request_lines.h"
 #include "tool/text_table.h"
 
 namespace jackdawrack {
@@ -80,22 +81,44 @@
   command->footer(
       "Example:\n"
       "  jackdawrack explain 8f3a1c22d4e5f607-1a --at 127.0.0.1:21300\n"
-      "The id is the member 'request' of an answer. Name the instance that "
-      "took the request, or all of them.\n"
+      "  jackdawrack explain 9c41d07be2a35f68 --log east-1.log west-1.log\n"
+      "The id is the member 'request' of an answer, or the request id that the "
+      "caller sent. Name the instance that took the request, or all of them, "
+      "or the files that hold their logs.\n"
       "Exit codes: 0 found, 1 not remembered or not read, 2 bad use.");
   command->add_option("request", m_request, "request id of an answer")
-      ->required()
-      ->check(CLI::Validator(
-          [](const std::string& text) {
-            return RequestId::Parse(text)
-                       ? std::string()
-                       : "'" + text + "': accepted is HEX-HEX";
-          },
-          "ID"));
-  DeclareInstances(*command, m_at);
+      ->required();
+  CLI::Option* at = DeclareInstances(*command, m_at);
+  at->required(false);
+  command->add_option("--log", m_logs, "files with lines of instances")
+      ->check(CLI::ExistingFile)
+      ->excludes(at);
 }
 
 ExitCode ExplainCommand::Run() {
+  return m_logs.empty() ? ExplainFromInstances() : ExplainFromLogs();
+}
+
+ExitCode ExplainCommand::ExplainFromLogs() const {
+  const std::vector<std::string> lines = FindRequestLines(m_logs, m_request);
+  for (const std::string& line : lines) {
+    fmt::print("{}\n", line);
+  }
+  if (lines.empty()) {
+    fmt::print(stderr,
+               "no line of request {}: complete successes are sampled, and "
+               "lines may have been left out (event 1009)\n",
+               m_request);
+  }
+  return lines.empty() ? ExitCode::kFailed : ExitCode::kOk;
+}
+
+ExitCode ExplainCommand::ExplainFromInstances() {
+  if (m_at.empty() || !RequestId::Parse(m_request)) {
+    fmt::print(stderr,
+               "accepted is HEX-HEX with --at, or a request id with --log\n");
+    return ExitCode::kBadUse;
+  }
   std::vector<InstanceReading> readings =
       ReadInstances(ToEndpoints(m_at), "/v1/explain/" + m_request);
   for (const InstanceReading& reading : readings) {
