--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -195,13 +195,9 @@
     if (instances == m_instances) {
       return;
     }
-    std::size_t total = 0;
-    for (const auto& [domain, count] : instances) {
-      total += count;
-    }
     m_instances = instances;
-    LogEvent(EventId::kFleetChanged, "instances={} domains={}", total,
-             m_instances.size());
+    LogEvent(EventId::kFleetChanged, "instances={} domains={}",
+             CountInstances(), m_instances.size());
     m_gateway.SetFleet(std::move(instances));
   }
 
@@ -232,10 +228,39 @@
   HttpReply AnswerMetrics() {
     HttpReply reply;
     reply.m_content_type = "text/plain; version=0.0.4";
-    reply.m_body = m_metrics.ToText();
+    reply.m_body = m_metrics.ToText() + GaugesText();
     return reply;
   }
 
+  // What is read off the parts at the moment of asking.
+  [[nodiscard]] std::string GaugesText() const {
+    const std::chrono::duration<double> answer_age =
+        BootClock().Now() - m_feed.LastAnswerAt();
+    return fmt::format(
+        "jackdawrack_config_version {}\n"
+        "jackdawrack_published_replicas {}\n"
+        "jackdawrack_store_calls_total {}\n"
+        "jackdawrack_store_answer_age_seconds {:.3f}\n"
+        "jackdawrack_store_lost {}\n"
+        "jackdawrack_known_instances {}\n"
+        "jackdawrack_caller_connections {}\n"
+        "jackdawrack_upstream_connections {}\n"
+        "jackdawrack_log_lines_dropped_total {}\n",
+        m_state.Table() == nullptr ? 0 : m_state.Table()->Version(),
+        m_state.Directory().Size(), m_store.CallCount(), answer_age.count(),
+        m_feed.IsLost() ? 1 : 0, CountInstances(),
+        m_gateway.CallerConnections(), m_gateway.UpstreamConnections(),
+        DroppedEvents());
+  }
+
+  [[nodiscard]] std::size_t CountInstances() const {
+    std::size_t total = 0;
+    for (const auto& [domain, count] : m_instances) {
+      total += count;
+    }
+    return total;
+  }
+
   void WaitForSignal() {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
       if (error) {
--- a/packages/gateway/include/gateway/feed_reader.h
+++ b/packages/gateway/include/gateway/feed_reader.h
@@ -48,6 +48,9 @@
   /// True while the store does not answer, or has not answered yet.
   [[nodiscard]] bool IsLost() const { return m_is_lost || m_revision == 0; }
 
+  /// When the store last answered; the clock's beginning if never.
+  [[nodiscard]] TimePoint LastAnswerAt() const { return m_last_answer; }
+
   /// Takes what a peer knows in place of a listing; it has to be newer.
   void TakeSnapshot(const std::vector<PublishedChange>& listing,
                     std::uint64_t revision) {
@@ -87,6 +90,7 @@
       m_state.NoteDisturbance(now);
       LogEvent(EventId::kStoreReached, "revision={}", changes.m_revision);
     }
+    m_last_answer = now;
     m_retry = m_settings.m_first_retry;
     if (changes.m_revision >= m_revision) {
       Apply(changes, now);
@@ -141,6 +145,7 @@
   bool m_needs_listing = true;
   bool m_is_listing = false;
   bool m_is_lost = false;
+  TimePoint m_last_answer{};
   Milliseconds m_retry = m_settings.m_first_retry;
 };
 
--- /dev/null
+++ b/packages/routing/bench/routing_bench.cpp
@@ -0,0 +1,106 @@
+#include <fmt/format.h>
+
+#include <chrono>
+#include <functional>
+#include <vector>
+
+#include "routing/record_merge.h"
+#include "routing/replica_choice.h"
+#include "routing/retry_budget.h"
+#include "routing/route_table.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr int kRounds = 200'000;
+
+/// Keeps results from being optimised away.
+std::size_t g_sum = 0;
+
+void Measure(const std::string& name,
+             const std::string& size,
+             const std::function<std::size_t(int)>& work) {
+  const TimePoint began = SteadyClock().Now();
+  for (int round = 0; round < kRounds; ++round) {
+    g_sum += work(round);
+  }
+  const std::chrono::duration<double, std::nano> took =
+      SteadyClock().Now() - began;
+  fmt::print("| {} | {} | {:.0f} |\n", name, size, took.count() / kRounds);
+}
+
+RouteTable MakeTable(int routes) {
+  RoutingConfig config;
+  config.m_version = 1;
+  for (int index = 0; index < routes; ++index) {
+    Route route;
+    route.m_name = fmt::format("r-{}", index);
+    route.m_host = fmt::format("h{}.example", index % 4);
+    route.m_prefix = fmt::format("/p{}/q/", index);
+    config.m_routes.push_back(std::move(route));
+  }
+  return RouteTable(std::move(config));
+}
+
+void MeasureLookup(int routes) {
+  const RouteTable table = MakeTable(routes);
+  Measure("route lookup", fmt::format("{} routes", routes), [&](int round) {
+    const std::string path = fmt::format("/p{}/q/2f", round % routes);
+    const std::string host = fmt::format("h{}.example", round % routes % 4);
+    return static_cast<std::size_t>(table.Find(host, path) != nullptr);
+  });
+}
+
+void MeasureChoice(std::size_t replicas) {
+  std::vector<ReplicaCandidate> candidates(replicas);
+  for (std::size_t index = 0; index < replicas; ++index) {
+    candidates[index].m_is_home = index == 0;
+    candidates[index].m_latency = Milliseconds(10 + index);
+  }
+  Measure("replica choice", fmt::format("{} replicas", replicas),
+          [&](int round) {
+            return ChooseReplica(candidates, ReplicaChoiceSettings{},
+                                 static_cast<std::size_t>(round))
+                .value_or(0);
+          });
+}
+
+void MeasureMerge(std::size_t parts) {
+  std::vector<std::string> bodies;
+  for (std::size_t part = 0; part < parts; ++part) {
+    bodies.push_back(std::string(192, static_cast<char>('a' + part % 26)));
+  }
+  Measure("merge of the 10 greatest", fmt::format("{} parts of 192 B", parts),
+          [&](int) {
+            RecordMerge merge;
+            for (const std::string& body : bodies) {
+              merge.Add(body);
+            }
+            return merge.Greatest(10).size();
+          });
+}
+
+void MeasureBudget() {
+  ManualClock clock;
+  RetryBudget budget({0.2, 58, Milliseconds(10'000)}, clock.Now());
+  Measure("budget of repeats, request and repeat", "1 service", [&](int) {
+    budget.RecordRequest(clock.Now());
+    return static_cast<std::size_t>(
+        budget.TryTake(RepeatPurpose::kHedge, 9, clock.Now()));
+  });
+}
+
+}  // namespace
+}  // namespace jackdawrack
+
+int main() {
+  fmt::print("| decision | size | ns |\n|---|---|---|\n");
+  jackdawrack::MeasureLookup(18);
+  jackdawrack::MeasureLookup(500);
+  jackdawrack::MeasureChoice(3);
+  jackdawrack::MeasureChoice(12);
+  jackdawrack::MeasureMerge(10);
+  jackdawrack::MeasureMerge(400);
+  jackdawrack::MeasureBudget();
+  return jackdawrack::g_sum == 0 ? 1 : 0;
+}
--- /dev/null
+++ b/packages/testing/tests/gateway_log_test.cpp
@@ -0,0 +1,80 @@
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "testing/gateway_fleet.h"
+#include "testing/raw_caller.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr int kPipeBytes = 4'096;
+constexpr Milliseconds kStuckTime{10'000};
+constexpr Milliseconds kPause{5};
+
+/// A request takes 3 ms at the stand-in; a blocked write would take seconds.
+constexpr Milliseconds kGreatestP99{50};
+
+Milliseconds P99(std::vector<Milliseconds> times) {
+  std::sort(times.begin(), times.end());
+  return times[times.size() * 99 / 100];
+}
+
+// Milliseconds of each of the requests sent in `length`.
+std::vector<Milliseconds> CallFor(GatewayFleet& fleet, Milliseconds length) {
+  RawCaller caller(fleet.CallerPort());
+  std::vector<Milliseconds> times;
+  const TimePoint until = SteadyClock().Now() + length;
+  while (SteadyClock().Now() < until) {
+    const TimePoint began = SteadyClock().Now();
+    const auto reply = caller.Call("POST", "/book/x",
+                                   fmt::format("log-{}", times.size()), "body");
+    REQUIRE(reply);
+    REQUIRE(reply->m_status == 500);
+    times.push_back(
+        std::chrono::duration_cast<Milliseconds>(SteadyClock().Now() - began));
+    std::this_thread::sleep_for(kPause);
+  }
+  return times;
+}
+
+TEST_CASE("requests go on while nobody reads the log") {
+  GatewayFleet fleet({.m_name = "gw-stuck-log"});
+  REQUIRE(mkfifo(fleet.LogPath(0).c_str(), 0600) == 0);
+  const int reader = open(fleet.LogPath(0).c_str(), O_RDWR | O_NONBLOCK);
+  REQUIRE(reader >= 0);
+  REQUIRE(fcntl(reader, F_SETPIPE_SZ, kPipeBytes) >= 0);
+  fleet.Start();
+  for (const char* domain : {"east", "west"}) {
+    fleet.Replica("single", domain).SetMode(ReplicaMode::kFail);
+  }
+
+  // Every request fails, so that each has lines to write
+  const auto times = CallFor(fleet, kStuckTime);
+  REQUIRE(times.size() > 500);
+  REQUIRE(P99(times) < kGreatestP99);
+  REQUIRE(fleet.Metrics(0).find("jackdawrack_log_lines_dropped") !=
+          std::string::npos);
+
+  // Once read again, the log goes on and says how much is missing
+  std::string text;
+  std::vector<char> piece(kPipeBytes);
+  for (int turn = 0; turn < 400; ++turn) {
+    const auto size = read(reader, piece.data(), piece.size());
+    if (size > 0) {
+      text.append(piece.data(), static_cast<std::size_t>(size));
+    } else {
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+  }
+  REQUIRE(text.find("1001 ProcessStarted") != std::string::npos);
+  REQUIRE(text.find("1009 EventsDropped lines=") != std::string::npos);
+  close(reader);
+}
+
+}  // namespace
+}  // namespace jackdawrack
