--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -133,7 +133,7 @@
            finished.m_status, InMs(took), InMs(call.m_spent_before),
            finished.m_parts.size(), finished.m_missing, sends.m_hedges,
            sends.m_retries);
-  if (is_failure || is_sampled) {
+  if (is_failure || is_sampled || finished.m_missing > 0) {
     WriteSends(finished);
   }
 }
--- /dev/null
+++ b/packages/gateway/tests/feed_reader_test.cpp
@@ -0,0 +1,138 @@
+#include "gateway/feed_reader.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+namespace jackdawrack {
+namespace {
+
+/// A store whose calls the test answers one by one.
+class FakeStore final {
+ public:
+  using Handler = std::function<void(StoreResult<PublishedChanges>)>;
+
+  void List(Handler handler) {
+    ++m_listings;
+    m_handler = std::move(handler);
+  }
+
+  void Watch(std::uint64_t revision, Milliseconds, Handler handler) {
+    m_watched_from = revision;
+    m_handler = std::move(handler);
+  }
+
+  void Answer(StoreResult<PublishedChanges> result) {
+    const Handler handler = std::move(m_handler);
+    m_handler = nullptr;
+    handler(std::move(result));
+  }
+
+  [[nodiscard]] bool IsAsked() const { return m_handler != nullptr; }
+
+  int m_listings = 0;
+  std::optional<std::uint64_t> m_watched_from;
+
+ private:
+  Handler m_handler;
+};
+
+ReplicaRecord MakeRecord(const std::string& id, std::uint64_t sequence) {
+  ReplicaRecord record;
+  record.m_id = UpstreamId(id);
+  record.m_service = ServiceName("s");
+  record.m_incarnation = Incarnation{1, sequence};
+  return record;
+}
+
+PublishedChanges MakeChanges(std::vector<PublishedChange> changes,
+                             std::uint64_t revision) {
+  return PublishedChanges{std::move(changes), revision};
+}
+
+class Reading final {
+ public:
+  Reading()
+      : m_reader(m_context,
+                 m_store,
+                 m_state,
+                 FeedSettings{Milliseconds(1'000), Milliseconds(1),
+                              Milliseconds(1), Milliseconds(2)}) {
+    m_reader.Start();
+  }
+
+  // Lets timers fire until the store is asked again.
+  void RunUntilAsked() {
+    while (!m_store.IsAsked()) {
+      m_context.restart();
+      REQUIRE(m_context.run_one_for(Milliseconds(1'000)) == 1);
+    }
+  }
+
+  void Answer(StoreResult<PublishedChanges> result) {
+    RunUntilAsked();
+    m_store.Answer(std::move(result));
+  }
+
+  boost::asio::io_context m_context;
+  FakeStore m_store;
+  PublishedState m_state;
+  FeedReader<FakeStore> m_reader;
+};
+
+TEST_CASE("a listing is followed by watches from its revision") {
+  Reading reading;
+  REQUIRE(reading.m_reader.IsLost());
+  reading.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  reading.RunUntilAsked();
+  REQUIRE_FALSE(reading.m_reader.IsLost());
+  REQUIRE(reading.m_store.m_watched_from == 10);
+  reading.Answer(MakeChanges({MakeRecord("b", 1)}, 12));
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_store.m_watched_from == 12);
+  REQUIRE(reading.m_state.Directory().Size() == 2);
+}
+
+TEST_CASE("an unreachable store is asked again, and its removals are doubted") {
+  Reading reading;
+  reading.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  reading.Answer(MakeError(StoreErrc::kUnreachable, "reset"));
+  REQUIRE(reading.m_reader.IsLost());
+  reading.Answer(MakeError(StoreErrc::kRefused, "status 503"));
+  reading.Answer(MakeChanges({ReplicaRemoval{UpstreamId("a")}}, 13));
+  REQUIRE_FALSE(reading.m_reader.IsLost());
+  REQUIRE(reading.m_state.Directory().Size() == 1);
+  reading.m_state.DropLapsed(BootClock().Now() + ReplicaDirectory::kLapseGrace);
+  REQUIRE(reading.m_state.Directory().Size() == 0);
+}
+
+TEST_CASE("history that is gone leads to a listing") {
+  Reading reading;
+  reading.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  reading.Answer(MakeError(StoreErrc::kHistoryGone, "status 410"));
+  reading.Answer(MakeChanges({MakeRecord("b", 1)}, 40));
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_store.m_listings == 2);
+  REQUIRE(reading.m_store.m_watched_from == 40);
+  REQUIRE(reading.m_state.Directory().Records().front().m_id ==
+          UpstreamId("b"));
+}
+
+TEST_CASE("a peer's snapshot stands in for a listing and is not undone") {
+  Reading reading;
+  reading.m_reader.TakeSnapshot({MakeRecord("a", 5), RoutingConfig{}}, 50);
+  REQUIRE(reading.m_reader.Revision() == 50);
+
+  // A watch or listing from before the snapshot tells an older story
+  reading.Answer(MakeChanges({MakeRecord("z", 1)}, 45));
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_state.Directory().Size() == 1);
+  REQUIRE(reading.m_store.m_watched_from == 50);
+
+  // An older snapshot is not taken
+  reading.m_reader.TakeSnapshot({MakeRecord("z", 9)}, 49);
+  REQUIRE(reading.m_state.Directory().Records().front().m_id ==
+          UpstreamId("a"));
+}
+
+}  // namespace
+}  // namespace jackdawrack
