--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/event.h"
+#include "net/listener.h"
 
 namespace jackdawrack {
 namespace {
@@ -14,7 +15,6 @@
 namespace asio = boost::asio;
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-constexpr int kListenBacklog = 1024;
 
 /// Pause after a failed accept, mostly for want of descriptors.
 constexpr Milliseconds kAcceptRetryDelay{50};
@@ -29,27 +29,7 @@
       m_service(service) {}
 
 NetResult<void> CallerListener::Start() {
-  boost::system::error_code error;
-  const asio::ip::tcp::endpoint endpoint(
-      asio::ip::make_address(m_endpoint.m_address, error), m_endpoint.m_port);
-  if (!error) {
-    m_acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    m_acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(kListenBacklog, error);
-  }
-  if (error) {
-    return MakeError(
-        NetErrc::kNotSent,
-        "cannot listen on " + m_endpoint.ToText() + ": " + error.message());
-  }
-  return boost::outcome_v2::success();
+  return OpenListener(m_acceptor, m_endpoint);
 }
 
 void CallerListener::BeginAccepting() {
--- a/packages/model/include/model/endpoint.h
+++ b/packages/model/include/model/endpoint.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "core/ini.h"
+
 namespace jackdawrack {
 
 /// An IP address and a port.
@@ -26,4 +28,7 @@
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
+/// The address under `key`; a problem if it is missing or no IP:PORT.
+[[nodiscard]] Endpoint ReadEndpoint(IniSectionReader& reader, const char* key);
+
 }  // namespace jackdawrack
--- a/packages/model/src/endpoint.cpp
+++ b/packages/model/src/endpoint.cpp
@@ -36,4 +36,13 @@
   return fmt::format("{}:{}", m_address, m_port);
 }
 
+Endpoint ReadEndpoint(IniSectionReader& reader, const char* key) {
+  const auto endpoint = Endpoint::Parse(reader.Text(key));
+  if (!endpoint) {
+    reader.Refuse(key, "accepted is IP:PORT");
+    return {};
+  }
+  return *endpoint;
+}
+
 }  // namespace jackdawrack
--- a/packages/model/src/instance_settings.cpp
+++ b/packages/model/src/instance_settings.cpp
@@ -8,15 +8,6 @@
 constexpr std::uint64_t kLeastBodyBytes = 1024;
 constexpr std::uint64_t kGreatestBodyBytes = 64 << 20;
 
-Endpoint ReadEndpoint(IniSectionReader& reader, const char* key) {
-  const auto endpoint = Endpoint::Parse(reader.Text(key));
-  if (!endpoint) {
-    reader.Refuse(key, "accepted is IP:PORT");
-    return {};
-  }
-  return *endpoint;
-}
-
 std::string ReadOutboundAddress(IniSectionReader& reader) {
   const std::string address = reader.Text("outbound_address", "");
   if (!address.empty() && !Endpoint::Parse(address + ":1")) {
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "core/check.h"
+#include "net/listener.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -24,7 +25,6 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds kUserTimeout{10'000};
-constexpr int kListenBacklog = 1024;
 constexpr std::size_t kFirstReadBytes = 4096;
 
 /// Time without a request after which a connection counts as idle for good.
@@ -98,30 +98,12 @@
         m_acceptor(asio::make_strand(context)) {}
 
   NetResult<void> Start() {
-    beast::error_code error;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(m_settings.m_endpoint.m_address, error),
-        m_settings.m_endpoint.m_port);
-    if (!error) {
-      m_acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-      m_acceptor.set_option(Acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-      m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      m_acceptor.listen(kListenBacklog, error);
-    }
-    if (error) {
-      return MakeError(NetErrc::kNotSent, "cannot listen on " +
-                                              m_settings.m_endpoint.ToText() +
-                                              ": " + error.message());
+    auto opened = OpenListener(m_acceptor, m_settings.m_endpoint);
+    if (opened) {
+      asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(shared_from_this()),
+                     asio::detached);
     }
-    asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(shared_from_this()),
-                   asio::detached);
-    return boost::outcome_v2::success();
+    return opened;
   }
 
   void StopAccepting() {
--- /dev/null
+++ b/packages/net/src/listener.cpp
@@ -0,0 +1,38 @@
+#include "net/listener.h"
+
+namespace jackdawrack {
+namespace {
+
+using Acceptor = boost::asio::ip::tcp::acceptor;
+
+/// Connections that wait to be accepted; a stop of seconds overflows no less.
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
+
+NetResult<void> OpenListener(Acceptor& acceptor, const Endpoint& endpoint) {
+  boost::system::error_code error;
+  const boost::asio::ip::tcp::endpoint address(
+      boost::asio::ip::make_address(endpoint.m_address, error),
+      endpoint.m_port);
+  if (!error) {
+    acceptor.open(address.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(Acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(address, error);
+  }
+  if (!error) {
+    acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return MakeError(
+        NetErrc::kNotSent,
+        "cannot listen on " + endpoint.ToText() + ": " + error.message());
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace jackdawrack
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "core/event.h"
+#include "net/listener.h"
 #include "peer/peer_connection.h"
 
 namespace jackdawrack {
@@ -131,28 +132,11 @@
         m_acceptor(asio::make_strand(context)) {}
 
   NetResult<void> Start() {
-    boost::system::error_code error;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(m_endpoint.m_address, error), m_endpoint.m_port);
-    if (!error) {
-      m_acceptor.open(endpoint.protocol(), error);
+    auto opened = OpenListener(m_acceptor, m_endpoint);
+    if (opened) {
+      Accept();
     }
-    if (!error) {
-      m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return MakeError(
-          NetErrc::kNotSent,
-          "cannot listen on " + m_endpoint.ToText() + ": " + error.message());
-    }
-    Accept();
-    return boost::outcome_v2::success();
+    return opened;
   }
 
   void SayGoodbye() {
--- a/packages/routing/src/gateway_file_settings.cpp
+++ b/packages/routing/src/gateway_file_settings.cpp
@@ -10,15 +10,6 @@
 constexpr std::uint64_t kMaxLinesPerSecond = 100'000;
 constexpr std::uint64_t kMaxSlack = 1'000'000;
 
-Endpoint ReadEndpoint(IniSectionReader& reader, const char* key) {
-  const auto endpoint = Endpoint::Parse(reader.Text(key));
-  if (!endpoint) {
-    reader.Refuse(key, "accepted is IP:PORT");
-    return {};
-  }
-  return *endpoint;
-}
-
 Milliseconds ReadSeconds(IniSectionReader& reader, const char* key) {
   const std::string text = reader.Text(key);
   char* end = nullptr;
