--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -69,11 +69,7 @@
 }
 
 bool ReplicaPool::MayOpen(TimePoint now) const {
-  // One at a time: each opening costs the upstream as much as a short request
-  const bool is_opening =
-      std::any_of(m_channels.begin(), m_channels.end(),
-                  [](const auto& channel) { return channel->IsOpening(); });
-  return !is_opening && m_channels.size() < m_share && now >= m_open_after;
+  return m_channels.size() < m_share && now >= m_open_after;
 }
 
 void ReplicaPool::NoteOpening(bool has_succeeded, TimePoint now) {
--- a/packages/gateway/src/upstream_channel.h
+++ b/packages/gateway/src/upstream_channel.h
@@ -81,9 +81,6 @@
   [[nodiscard]] bool IsIdle() const { return !m_is_busy && !m_is_closed; }
   [[nodiscard]] bool IsClosed() const { return m_is_closed; }
 
-  /// The connection is being opened.
-  [[nodiscard]] bool IsOpening() const { return m_is_busy && !m_is_connected; }
-
   /// An answer has come on this connection.
   [[nodiscard]] bool IsProven() const { return m_is_proven; }
 
