Bound what a shorter deadline is taken for; one check tells refusals

Cause: one caller's deadline of 90 s made every other caller of the route look as if it had waited for minutes, so that it got a partial answer at once.

--- a/packages/gateway/src/part_run.cpp
+++ b/packages/gateway/src/part_run.cpp
@@ -7,9 +7,6 @@
 namespace jackdawrack {
 namespace {
 
-constexpr unsigned kStatusMisdirected = 421;
-constexpr unsigned kFirstServerError = 500;
-
 /// Pause after which a hedge that the budget refused is tried again.
 constexpr Milliseconds kHedgeRetryDelay{25};
 
@@ -56,8 +53,7 @@
     return;
   }
   if (pick.m_pool == nullptr || HasWaitedTooLong(now)) {
-    Finish({m_may_have_run ? PartEnd::kFailed : PartEnd::kNotRun,
-            std::move(m_last_failure)});
+    FinishUnanswered();
     return;
   }
   WaitForConnection(now);
@@ -87,11 +83,12 @@
   });
 }
 
-bool PartRun::SendTo(const std::shared_ptr<ReplicaPool>& pool,
+void PartRun::SendTo(const std::shared_ptr<ReplicaPool>& pool,
                      AttemptReason reason) {
+  // A process that woke late sends nothing for which the time is over
   const TimePoint now = BootClock().Now();
   if (now >= m_call->m_final_at) {
-    return false;
+    return;
   }
   ChannelRequest request;
   request.m_make_head = [call = m_call,
@@ -116,7 +113,6 @@
                  [self = shared_from_this(), index](ExchangeResult result) {
                    self->OnEnd(index, std::move(result));
                  });
-  return true;
 }
 
 bool PartRun::IsRunning() const {
@@ -135,8 +131,7 @@
   const WireHeaders& headers = m_context.m_settings.m_headers;
   const UpstreamAnswer& answer = *result.m_answer;
   const unsigned status = answer.result_int();
-  if (answer.find(headers.m_not_run) != answer.end() ||
-      status == kStatusMisdirected) {
+  if (IsRefusal(answer, headers.m_not_run)) {
     return AttemptEnd::kRefused;
   }
   const bool is_signed = answer.find(headers.m_signature) != answer.end();
@@ -191,22 +186,26 @@
 
 void PartRun::TryAgain() {
   const TimePoint now = BootClock().Now();
-  const bool may_repeat = m_call->IsIdempotent() || !m_may_have_run;
-  const bool has_attempts = m_arrivals < m_call->m_route->m_max_attempts;
-  const bool has_time = now < m_call->m_final_at;
-  if (may_repeat && has_attempts && has_time && m_arrivals == 0) {
+  const bool may_repeat = (m_call->IsIdempotent() || !m_may_have_run) &&
+                          m_arrivals < m_call->m_route->m_max_attempts &&
+                          now < m_call->m_final_at;
+  if (may_repeat && m_arrivals == 0) {
     SendOrWait();
     return;
   }
-  if (may_repeat && has_attempts && has_time) {
-    const auto pool = m_group.Choose(m_tried, now).Free();
-    if (pool != nullptr &&
-        m_group.Budget().TryTake(RepeatPurpose::kRetry,
-                                 m_context.m_replicas.FleetSizeTotal(), now)) {
-      SendTo(pool, AttemptReason::kRetry);
-      return;
-    }
+
+  // A send beyond the first draws on the budget
+  const auto pool = may_repeat ? m_group.Choose(m_tried, now).Free() : nullptr;
+  if (pool != nullptr &&
+      m_group.Budget().TryTake(RepeatPurpose::kRetry,
+                               m_context.m_replicas.FleetSizeTotal(), now)) {
+    SendTo(pool, AttemptReason::kRetry);
+    return;
   }
+  FinishUnanswered();
+}
+
+void PartRun::FinishUnanswered() {
   Finish({m_may_have_run ? PartEnd::kFailed : PartEnd::kNotRun,
           std::move(m_last_failure)});
 }
--- a/packages/gateway/src/part_run.h
+++ b/packages/gateway/src/part_run.h
@@ -104,13 +104,14 @@
   void WaitForConnection(TimePoint now);
   void HedgeIfWorth(TimePoint now);
   [[nodiscard]] bool HasWaitedTooLong(TimePoint now) const;
-  bool SendTo(const std::shared_ptr<ReplicaPool>& pool, AttemptReason reason);
+  void SendTo(const std::shared_ptr<ReplicaPool>& pool, AttemptReason reason);
   void OnEnd(std::size_t index, ExchangeResult result);
   [[nodiscard]] AttemptEnd Classify(const ExchangeResult& result) const;
   void OnAttemptFailed(const Attempt& attempt,
                        std::optional<UpstreamAnswer> answer);
   void TryAgain();
   [[nodiscard]] bool IsRunning() const;
+  void FinishUnanswered();
   void Finish(PartResult result);
   void StopAttempts(TimePoint now);
 
--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -25,9 +25,6 @@
 constexpr Milliseconds kFirstOpenBackoff{25};
 constexpr Milliseconds kLongestOpenBackoff{400};
 
-constexpr int kStatusMisdirected = 421;
-constexpr int kFirstServerError = 500;
-
 }  // namespace
 
 ReplicaPool::ReplicaPool(boost::asio::io_context& context,
@@ -154,8 +151,7 @@
     return ExchangeVerdict::kFailed;
   }
   const UpstreamAnswer& answer = *result.m_answer;
-  if (answer.find(m_settings.m_not_run_header) != answer.end() ||
-      answer.result_int() == kStatusMisdirected) {
+  if (IsRefusal(answer, m_settings.m_not_run_header)) {
     return ExchangeVerdict::kRefused;
   }
   return answer.result_int() >= kFirstServerError ? ExchangeVerdict::kFailed
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -69,13 +69,6 @@
                                     : m_state.Table()->Limits();
 }
 
-Duration RequestRouter::NoteSpentTime(const Route& route,
-                                      Milliseconds deadline) {
-  Milliseconds& first = m_first_deadlines[route.m_name];
-  first = std::max(first, deadline);
-  return first - deadline;
-}
-
 std::shared_ptr<CallerCall> RequestRouter::MakeCall(CallerMessage& message,
                                                     const Route& route,
                                                     TimePoint arrived_at) {
@@ -95,7 +88,7 @@
   const auto deadline = ParseMs(ToView(message[headers.m_deadline]));
   if (deadline) {
     call->m_final_at = std::min(call->m_final_at, arrived_at + *deadline);
-    call->m_spent_before = NoteSpentTime(route, *deadline);
+    call->m_spent_before = m_spent_time.Note(route, *deadline);
   }
   return call;
 }
--- a/packages/gateway/src/request_router.h
+++ b/packages/gateway/src/request_router.h
@@ -4,6 +4,7 @@
 
 #include "caller_session.h"
 #include "routing/published_state.h"
+#include "routing/spent_time.h"
 #include "routing/weighted_rotation.h"
 #include "run_context.h"
 
@@ -29,15 +30,12 @@
   [[nodiscard]] std::shared_ptr<CallerCall> MakeCall(CallerMessage& message,
                                                      const Route& route,
                                                      TimePoint arrived_at);
-  Duration NoteSpentTime(const Route& route, Milliseconds deadline);
 
   RunContext m_context;
   const PublishedState& m_state;
   bool m_is_ending = false;
   std::unordered_map<std::string, WeightedRotation> m_rotations;
-  /// Longest time that callers of a route have asked for: that of a first
-  /// attempt.
-  std::unordered_map<std::string, Milliseconds> m_first_deadlines;
+  SpentTime m_spent_time;
 };
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/upstream_channel.h
+++ b/packages/gateway/src/upstream_channel.h
@@ -4,19 +4,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
 #include "core/boot_clock.h"
+#include "upstream_answer.h"
 
 namespace jackdawrack {
 
-using UpstreamAnswer =
-    boost::beast::http::response<boost::beast::http::string_body>;
-
 /// How an exchange on a channel ended.
 enum class ExchangeEnd : std::uint8_t {
   /// A whole answer to this request came.
--- /dev/null
+++ b/packages/routing/src/spent_time.cpp
@@ -0,0 +1,16 @@
+#include "routing/spent_time.h"
+
+#include <algorithm>
+
+namespace jackdawrack {
+
+Duration SpentTime::Note(const Route& route, Milliseconds deadline) {
+  // One caller's odd deadline says nothing beyond the route's timeout
+  const Milliseconds told = std::min(deadline, route.m_timeout);
+  Milliseconds& most = m_first_deadlines[route.m_name];
+  most = std::max(most, told);
+  const Milliseconds first = std::min(most, route.m_timeout);
+  return std::min<Duration>(first - told, route.m_target_latency / 2);
+}
+
+}  // namespace jackdawrack
