--- a/packages/routing/tests/spent_time_test.cpp
+++ b/packages/routing/tests/spent_time_test.cpp
@@ -7,7 +7,7 @@
 
 Route MakeRoute() {
   Route route;
-  route.m_name = "r";
+  route.m_name = std::string("some-route");
   route.m_timeout = Milliseconds(2'500);
   route.m_target_latency = Milliseconds(200);
   return route;
