Eject a straggler after one late answer; ask elsewhere at once while it is on trial

Now the expected latency takes a slower answer at once and a faster one by and by, a late answer is judged when it is noted, and a range on trial goes to another replica as well; the trial itself runs to its answer.

--- a/packages/entry/src/query_run.cpp
+++ b/packages/entry/src/query_run.cpp
@@ -1,5 +1,6 @@
 #include "query_run.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 #include "core/check.h"
@@ -60,7 +61,8 @@
                   ? tables.ChooseVersion(*m_spec.m_collection,
                                          m_spec.m_query.m_ranges)
                   : m_spec.m_collection->IndexVersion()),
-      m_slow(tables.ReplicasToAvoid(m_spec.m_collection->Name())) {}
+      m_slow(tables.ReplicasToAvoid(m_spec.m_collection->Name())),
+      m_on_trial(tables.ReplicasOnTrial(m_spec.m_collection->Name())) {}
 
 void QueryRun::Start() {
   asio::post(m_strand, [self = shared_from_this()] {
@@ -97,19 +99,44 @@
 }
 
 void QueryRun::SendTo(const std::vector<KeyRange>& ranges) {
-  const QueryPlan plan = Plan(ranges);
+  QueryPlan plan = Plan(ranges);
   m_spec.m_trace->Planned(plan.m_shares.size(), m_merge.IndexVersion(),
                           SteadyClock().Now());
   for (const KeyRange& range : plan.m_unplaced) {
     m_merge.Miss(range, MissReason::kNoReplica);
   }
-  for (const OwnerShare& share : plan.m_shares) {
-    SendShare(share, false);
+  for (OwnerShare& share : plan.m_shares) {
+    SendTrials(share);
+    if (!share.m_ranges.empty()) {
+      SendShare(share, false);
+    }
   }
   ScheduleHedge();
 }
 
-void QueryRun::SendShare(const OwnerShare& share, bool is_hedge) {
+void QueryRun::SendTrials(OwnerShare& share) {
+  if (m_on_trial.empty()) {
+    return;
+  }
+  const auto is_trial = [&](const KeyRange& range) {
+    return m_on_trial.contains(ReplicaOf(share.m_owner, range));
+  };
+  const auto usual = std::stable_partition(share.m_ranges.begin(),
+                                           share.m_ranges.end(), is_trial);
+  const std::vector<KeyRange> trials(share.m_ranges.begin(), usual);
+  share.m_ranges.erase(share.m_ranges.begin(), usual);
+  for (const KeyRange& range : trials) {
+    OpenCall& call = SendShare(OwnerShare{share.m_owner, {range}}, false);
+    if (m_tables.TakeHedge(*m_spec.m_contract)) {
+      call.m_is_trial = true;
+      call.m_was_hedged = true;
+      HedgeElsewhere(range);
+    }
+  }
+}
+
+QueryRun::OpenCall& QueryRun::SendShare(const OwnerShare& share,
+                                        bool is_hedge) {
   const std::uint32_t attempt = ++m_last_attempt;
   const TimePoint now = SteadyClock().Now();
   const Milliseconds reserve = share.m_owner.m_domain == m_spec.m_domain
@@ -137,7 +164,7 @@
   call.m_unanswered = RangeSet(share.m_ranges);
   call.m_sent = now;
   call.m_is_hedge = is_hedge;
-  m_open_calls.emplace(attempt, std::move(call));
+  OpenCall& open = m_open_calls.emplace(attempt, std::move(call)).first->second;
   m_router.Send(share.m_owner, std::move(query),
                 [self = shared_from_this()](SubAnswer answer) {
                   asio::post(self->m_strand,
@@ -145,11 +172,17 @@
                                self->OnAnswer(answer);
                              });
                 });
+  return open;
 }
 
 void QueryRun::OnAnswer(const SubAnswer& answer) {
   JR_CHECK(answer.m_call.m_request == m_spec.m_request);
   const auto call = m_open_calls.find(answer.m_call.m_attempt);
+  const auto trial = m_overtaken_trials.find(answer.m_call.m_attempt);
+  if (trial != m_overtaken_trials.end()) {
+    RecordTrial(trial->second, answer);
+    return;
+  }
   if (m_is_finished || call == m_open_calls.end()) {
     m_tables.CountLateReply();
     m_spec.m_trace->LateReply();
@@ -168,7 +201,7 @@
     }
     m_open_calls.erase(call);
   }
-  HedgeElsewhere();
+  HedgeRefusedElsewhere();
   if (!RestartOnOtherVersion()) {
     WithdrawCoveredCalls();
     ReplanIdleRanges();
@@ -198,14 +231,14 @@
     m_merge.Miss(range.m_range, range.m_reason);
     if (range.m_reason == MissReason::kOverloaded) {
       m_tables.RecordRefusal(m_spec.m_collection->Name(),
-                             ReplicaOf(call, range.m_range));
+                             ReplicaOf(call.m_owner, range.m_range));
     }
     m_saw_wrong_version =
         m_saw_wrong_version || range.m_reason == MissReason::kWrongVersion;
     return;
   }
   m_tables.RecordLatency(m_spec.m_collection->Name(),
-                         ReplicaOf(call, range.m_range),
+                         ReplicaOf(call.m_owner, range.m_range),
                          SteadyClock().Now() - call.m_sent);
   const bool is_taken =
       m_merge.Accept(range.m_range, answer.m_index_version, range.m_rows);
@@ -221,11 +254,23 @@
   }
 }
 
-ReplicaKey QueryRun::ReplicaOf(const OpenCall& call,
+void QueryRun::RecordTrial(const OpenCall& call, const SubAnswer& answer) {
+  const Duration took = SteadyClock().Now() - call.m_sent;
+  for (const RangeAnswer& range : answer.m_ranges) {
+    const ReplicaKey replica = ReplicaOf(call.m_owner, range.m_range);
+    if (range.m_reason == MissReason::kNone) {
+      m_tables.RecordLatency(m_spec.m_collection->Name(), replica, took);
+    } else if (range.m_reason == MissReason::kTimeout) {
+      m_tables.RecordLate(m_spec.m_collection->Name(), replica, took);
+    }
+  }
+}
+
+ReplicaKey QueryRun::ReplicaOf(const Instance& owner,
                                const KeyRange& range) const {
   const CollectionMap& collection = *m_spec.m_collection;
   const Shard& shard = collection.Shards()[collection.ShardAt(range.m_begin)];
-  return ReplicaKey{call.m_owner.m_domain, shard.m_range.m_begin};
+  return ReplicaKey{owner.m_domain, shard.m_range.m_begin};
 }
 
 bool QueryRun::RestartOnOtherVersion() {
@@ -335,6 +380,10 @@
 void QueryRun::WithdrawOpenCalls() {
   const auto open = std::exchange(m_open_calls, {});
   for (const auto& [attempt, call] : open) {
+    if (call.m_is_trial) {
+      m_overtaken_trials.emplace(attempt, call);
+      continue;
+    }
     m_tables.CountCancel();
     m_router.Cancel(call.m_owner, CallId{m_spec.m_request, attempt});
   }
--- a/packages/entry/src/query_run.h
+++ b/packages/entry/src/query_run.h
@@ -62,11 +62,18 @@
     bool m_is_hedge_postponed = false;
     /// True once late ranges of it were asked for elsewhere.
     bool m_was_hedged = false;
+    /// True if it tries a slow replica again: it goes on until its answer,
+    /// which decides the trial.
+    bool m_is_trial = false;
   };
 
   // Sending
   void SendTo(const std::vector<KeyRange>& ranges);
-  void SendShare(const OwnerShare& share, bool is_hedge);
+  OpenCall& SendShare(const OwnerShare& share, bool is_hedge);
+  // Takes the ranges of slow replicas on trial out of the share, asks for each
+  // of them apart and at once elsewhere too.
+  void SendTrials(OwnerShare& share);
+  void HedgeElsewhere(const KeyRange& range);
   [[nodiscard]] QueryPlan Plan(const std::vector<KeyRange>& ranges) const;
 
   // Answers
@@ -75,6 +82,7 @@
   void OnRange(OpenCall& call,
                const SubAnswer& answer,
                const RangeAnswer& range);
+  void RecordTrial(const OpenCall& call, const SubAnswer& answer);
   bool RestartOnOtherVersion();
 
   // Coverage
@@ -82,7 +90,7 @@
   [[nodiscard]] bool MayAskAgain(MissReason reason);
   void ReplanIdleRanges();
 
-  [[nodiscard]] ReplicaKey ReplicaOf(const OpenCall& call,
+  [[nodiscard]] ReplicaKey ReplicaOf(const Instance& owner,
                                      const KeyRange& range) const;
 
   // Hedges
@@ -90,7 +98,7 @@
   void ScheduleHedge();
   void OnHedgeDue();
   void HedgeCall(std::uint32_t attempt);
-  void HedgeElsewhere();
+  void HedgeRefusedElsewhere();
   void WithdrawCoveredCalls();
   // Notes how long the replicas without an answer have taken so far.
   void RecordUnanswered();
@@ -119,7 +127,10 @@
   // Calls
   TriedDomains m_tried;
   const ReplicaSet m_slow;
+  const ReplicaSet m_on_trial;
   std::unordered_map<std::uint32_t, OpenCall> m_open_calls;
+  /// Trials of slow replicas whose ranges other replicas have answered.
+  std::unordered_map<std::uint32_t, OpenCall> m_overtaken_trials;
   std::uint32_t m_last_attempt = 0;
 
   // Repeats
--- a/packages/entry/src/query_run_hedges.cpp
+++ b/packages/entry/src/query_run_hedges.cpp
@@ -61,16 +61,20 @@
 }
 
 // A refused hedge ran nothing, so its token pays for the next domain.
-void QueryRun::HedgeElsewhere() {
+void QueryRun::HedgeRefusedElsewhere() {
   for (const RangeAnswer& refused : std::exchange(m_refused_hedges, {})) {
     if (refused.m_reason != MissReason::kOverloaded ||
         m_merge.Covered().Covers(refused.m_range)) {
       continue;
     }
-    for (const OwnerShare& share : Plan({refused.m_range}).m_shares) {
-      if (!m_tried.Contains(share.m_owner.m_domain, share.m_ranges.front())) {
-        SendShare(share, true);
-      }
+    HedgeElsewhere(refused.m_range);
+  }
+}
+
+void QueryRun::HedgeElsewhere(const KeyRange& range) {
+  for (const OwnerShare& share : Plan({range}).m_shares) {
+    if (!m_tried.Contains(share.m_owner.m_domain, share.m_ranges.front())) {
+      SendShare(share, true);
     }
   }
 }
@@ -110,13 +114,14 @@
     for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
       is_covered = is_covered && m_merge.Covered().Covers(range);
     }
-    if (!is_covered || call->second.m_unanswered.IsEmpty()) {
+    if (!is_covered || call->second.m_is_trial ||
+        call->second.m_unanswered.IsEmpty()) {
       ++call;
       continue;
     }
     for (const KeyRange& range : call->second.m_unanswered.Ranges()) {
       m_tables.RecordLate(m_spec.m_collection->Name(),
-                          ReplicaOf(call->second, range),
+                          ReplicaOf(call->second.m_owner, range),
                           SteadyClock().Now() - call->second.m_sent);
     }
     m_tables.CountCancel();
@@ -130,9 +135,12 @@
 void QueryRun::RecordUnanswered() {
   const TimePoint now = SteadyClock().Now();
   for (const auto& [attempt, call] : m_open_calls) {
+    if (call.m_is_trial) {
+      continue;
+    }
     for (const KeyRange& range : call.m_unanswered.Ranges()) {
-      m_tables.RecordLate(m_spec.m_collection->Name(), ReplicaOf(call, range),
-                          now - call.m_sent);
+      m_tables.RecordLate(m_spec.m_collection->Name(),
+                          ReplicaOf(call.m_owner, range), now - call.m_sent);
     }
   }
 }
--- a/packages/entry/src/query_tables.cpp
+++ b/packages/entry/src/query_tables.cpp
@@ -88,7 +88,9 @@
                              const ReplicaKey& replica,
                              Duration waited) {
   const std::lock_guard lock(m_mutex);
-  m_avoid[collection].m_slow.RecordWithdrawn(replica, waited);
+  AvoidTable& table = m_avoid[collection];
+  table.m_slow.RecordWithdrawn(replica, waited);
+  table.m_next_evaluation = SteadyClock().Now();
 }
 
 void QueryTables::RecordRefusal(const CollectionName& collection,
@@ -115,6 +117,14 @@
   return avoided;
 }
 
+ReplicaSet QueryTables::ReplicasOnTrial(
+    const CollectionName& collection) const {
+  const std::lock_guard lock(m_mutex);
+  const auto table = m_avoid.find(collection);
+  const bool is_ejecting = m_settings.m_slow_ejection && table != m_avoid.end();
+  return is_ejecting ? table->second.m_slow.OnTrial() : ReplicaSet();
+}
+
 std::optional<Duration> QueryTables::HedgeDelay(
     const Contract& contract,
     const CollectionName& collection,
--- a/packages/entry/src/query_tables.h
+++ b/packages/entry/src/query_tables.h
@@ -61,6 +61,9 @@
                      const ReplicaKey& replica);
   /// Replicas that a new query avoids because they are slow or refuse.
   [[nodiscard]] ReplicaSet ReplicasToAvoid(const CollectionName& collection);
+  /// Replicas that are tried again: ask another one too.
+  [[nodiscard]] ReplicaSet ReplicasOnTrial(
+      const CollectionName& collection) const;
   /// Time after which an answer counts as late: the quantile that leaves half
   /// of the contract's hedge share unused, or a part of the deadline while too
   /// little was seen. Nothing while hedging is off.
--- a/packages/policy/include/policy/slow_replicas.h
+++ b/packages/policy/include/policy/slow_replicas.h
@@ -22,16 +22,18 @@
 using ReplicaSet = std::set<ReplicaKey>;
 
 /// Finds replicas that are much slower than their siblings in the same domain,
-/// by the latency of answers. At most a share of them is ejected at a time. An
-/// ejected one is tried again after a while with a small part of its requests;
-/// still slow, it is ejected for twice as long.
+/// by the latency of answers. One late answer suffices: the expected latency
+/// follows a slower answer at once and a faster one by and by. At most a share
+/// of the replicas is ejected at a time. An ejected one is tried again after a
+/// while with a small part of its requests; still slow, it is ejected for twice
+/// as long.
 class SlowReplicas final {
  public:
   /// A replica is slow above this multiple of the median and this margin.
   static constexpr int kSlowFactor = 3;
   static constexpr Milliseconds kSlowMargin{5};
   /// Answers needed before a replica is judged.
-  static constexpr std::uint32_t kLeastSamples = 2;
+  static constexpr std::uint32_t kLeastSamples = 1;
   /// Greatest share of a domain's replicas ejected; one is always allowed.
   static constexpr double kGreatestShare = 0.1;
   static constexpr Milliseconds kFirstEjection{2'000};
@@ -58,11 +60,15 @@
   /// those on trial.
   [[nodiscard]] ReplicaSet ToAvoid();
 
+  /// The replicas on trial; a request that tries one is to be sent elsewhere
+  /// too, as the replica is likely to be slow still.
+  [[nodiscard]] ReplicaSet OnTrial() const;
+
  private:
   enum class State : std::uint8_t { kLive, kEjected, kOnTrial };
 
   struct Observation {
-    Duration m_mean{};
+    Duration m_expected{};
     std::uint32_t m_samples = 0;
     State m_state = State::kLive;
     TimePoint m_ejected_until{};
--- a/packages/policy/src/slow_replicas.cpp
+++ b/packages/policy/src/slow_replicas.cpp
@@ -6,8 +6,8 @@
 namespace jackdawrack {
 namespace {
 
-/// Weight of a new latency in the mean.
-constexpr int kMeanDivisor = 4;
+/// Divides the weight of a faster answer in the expected latency.
+constexpr int kFasterDivisor = 4;
 
 /// Siblings needed for a median that means something.
 constexpr std::size_t kLeastSiblings = 3;
@@ -23,9 +23,10 @@
 
 void SlowReplicas::Record(const ReplicaKey& replica, Duration latency) {
   Observation& seen = m_observations[replica];
-  seen.m_mean = seen.m_samples == 0
-                    ? latency
-                    : seen.m_mean + (latency - seen.m_mean) / kMeanDivisor;
+  const bool is_slower = seen.m_samples == 0 || latency >= seen.m_expected;
+  seen.m_expected = is_slower ? latency
+                              : seen.m_expected + (latency - seen.m_expected) /
+                                                      kFasterDivisor;
   ++seen.m_samples;
 }
 
@@ -55,19 +56,32 @@
   return avoid;
 }
 
+ReplicaSet SlowReplicas::OnTrial() const {
+  ReplicaSet on_trial;
+  if (m_avoided == 0) {
+    return on_trial;
+  }
+  for (const auto& [replica, seen] : m_observations) {
+    if (seen.m_state == State::kOnTrial) {
+      on_trial.insert(replica);
+    }
+  }
+  return on_trial;
+}
+
 std::map<FailureDomain, SlowReplicas::DomainLoad> SlowReplicas::Summarise()
     const {
-  std::map<FailureDomain, std::vector<Duration>> means;
+  std::map<FailureDomain, std::vector<Duration>> latencies;
   std::map<FailureDomain, DomainLoad> domains;
   for (const auto& [replica, seen] : m_observations) {
     if (seen.m_samples >= kLeastSamples) {
-      means[replica.m_domain].push_back(seen.m_mean);
+      latencies[replica.m_domain].push_back(seen.m_expected);
     }
     DomainLoad& domain = domains[replica.m_domain];
     ++domain.m_count;
     domain.m_ejected += seen.m_state == State::kLive ? 0 : 1;
   }
-  for (auto& [domain, values] : means) {
+  for (auto& [domain, values] : latencies) {
     if (values.size() >= kLeastSiblings) {
       domains[domain].m_median = MedianOf(std::move(values));
     }
@@ -91,8 +105,8 @@
   }
 
   // Take back into use one that is as fast as its siblings
-  const bool is_slow = seen.m_mean > domain.m_median * kSlowFactor &&
-                       seen.m_mean > domain.m_median + kSlowMargin;
+  const bool is_slow = seen.m_expected > domain.m_median * kSlowFactor &&
+                       seen.m_expected > domain.m_median + kSlowMargin;
   if (!is_slow) {
     if (seen.m_state == State::kOnTrial) {
       seen.m_state = State::kLive;
--- a/packages/policy/tests/slow_replicas_test.cpp
+++ b/packages/policy/tests/slow_replicas_test.cpp
@@ -65,6 +65,33 @@
   REQUIRE(replicas.Evaluate(clock.Now()) == 1);
 }
 
+TEST_CASE("one late answer ejects a replica, and one decides its trial") {
+  ManualClock clock;
+  SlowReplicas replicas;
+  const ReplicaKey slow{kEast, 0};
+  for (int i = 0; i < 5; ++i) {
+    AnswerAll(replicas, 0);
+  }
+  REQUIRE(replicas.OnTrial().empty());
+  replicas.RecordWithdrawn(slow, Milliseconds(11));
+  REQUIRE(replicas.Evaluate(clock.Now()) == 1);
+
+  // Slow again on trial
+  clock.Advance(SlowReplicas::kFirstEjection);
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+  REQUIRE(replicas.OnTrial() == ReplicaSet{slow});
+  replicas.Record(slow, Milliseconds(40));
+  REQUIRE(replicas.Evaluate(clock.Now()) == 1);
+  REQUIRE(replicas.OnTrial().empty());
+
+  // Fast on the next trial
+  clock.Advance(2 * SlowReplicas::kFirstEjection);
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+  replicas.Record(slow, Milliseconds(4));
+  REQUIRE(replicas.Evaluate(clock.Now()) == 0);
+  REQUIRE(replicas.ToAvoid().empty());
+}
+
 TEST_CASE("a domain that is slow as a whole ejects nobody") {
   ManualClock clock;
   SlowReplicas replicas;
