Do not call a key too old while votes may still lower the lease's floor

Cause: a lease holds from the first quorum of votes on. Where one of these came from a witness that had just started, its vacancy is short and the floor young; the next vote lowers it a moment later. A key judged in between got the final answer key_too_old. Shown by a test on the policy that fails without the change (verdict kTooOld where kNoLease, which is tried again, is right).

--- a/packages/policy/include/policy/lease_holder.h
+++ b/packages/policy/include/policy/lease_holder.h
@@ -19,6 +19,9 @@
   /// Wall-clock time since which no other holder can have run a key of the
   /// slot that this holder does not know.
   UnixMs m_floor = 0;
+  /// False while witnesses whose votes may still lower the floor have not
+  /// answered.
+  bool m_is_floor_settled = true;
 
   friend bool operator==(const HeldLease&, const HeldLease&) = default;
 };
@@ -27,6 +30,10 @@
 /// held, on this process's monotonic clock.
 class LeaseHolder final {
  public:
+  /// Time for which a round waits for votes that may lower the floor; longer
+  /// than the round trip to any witness.
+  static constexpr Milliseconds kVoteTime{150};
+
   explicit LeaseHolder(LeaseTerms terms);
 
   /// Takes the listed instances as electorate. For the settle time after a
@@ -80,6 +87,9 @@
   [[nodiscard]] bool IsSettling(TimePoint now) const {
     return now < m_settled_at;
   }
+  [[nodiscard]] bool IsFloorSettled(KeySlot slot,
+                                    const Slot& state,
+                                    TimePoint now) const;
   void CountGrants(KeySlot slot, Slot& state, TimePoint now, UnixMs wall_now);
   [[nodiscard]] static std::optional<UnixMs> FloorOfQuorum(
       const std::vector<InstanceId>& witnesses,
--- a/packages/policy/include/policy/run_guard.h
+++ b/packages/policy/include/policy/run_guard.h
@@ -38,7 +38,8 @@
   kFull,
   /// It never ran; the slot is being handed over.
   kMoving,
-  /// The lease does not hold here; an earlier holder may have run it.
+  /// The lease does not hold here, or its floor may still fall; an earlier
+  /// holder may have run it.
   kNoLease,
   /// It was minted before the lease's floor; an earlier holder may have run it.
   kTooOld,
--- a/packages/policy/src/lease_holder.cpp
+++ b/packages/policy/src/lease_holder.cpp
@@ -64,9 +64,17 @@
   }
   HeldLease held = lease;
   held.m_floor = std::max(held.m_floor, found->second.m_raised_floor);
+  held.m_is_floor_settled = IsFloorSettled(slot, found->second, now);
   return held;
 }
 
+bool LeaseHolder::IsFloorSettled(KeySlot slot,
+                                 const Slot& state,
+                                 TimePoint now) const {
+  return now >= state.m_round_start + kVoteTime ||
+         state.m_grants.size() >= WitnessesToAsk(slot, now).size();
+}
+
 void LeaseHolder::Drop(KeySlot slot) {
   const auto found = m_slots.find(slot);
   if (found != m_slots.end()) {
--- a/packages/policy/src/run_guard.cpp
+++ b/packages/policy/src/run_guard.cpp
@@ -67,10 +67,14 @@
     return RunVerdict::kNoLease;
   }
   const UnixMs forgotten = wall_now - m_settings.m_window.count();
-  const UnixMs floor = std::max(lease->m_floor, forgotten);
-  if (key.m_minted <= floor + m_terms.MintMargin().count()) {
+  const UnixMs mint_bound = key.m_minted - m_terms.MintMargin().count();
+  if (mint_bound <= forgotten) {
     return RunVerdict::kTooOld;
   }
+  if (mint_bound <= lease->m_floor) {
+    return lease->m_is_floor_settled ? RunVerdict::kTooOld
+                                     : RunVerdict::kNoLease;
+  }
 
   if (IsFrozen(key.m_slot)) {
     return RunVerdict::kMoving;
--- /dev/null
+++ b/packages/policy/tests/lease_floor_test.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "policy/run_guard.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr KeySlot kSlot = 7;
+constexpr UnixMs kNow = 1'700'000'000'000;
+const std::vector<InstanceId> kListed = {InstanceId("a"), InstanceId("b"),
+                                         InstanceId("c")};
+
+LeaseVotes VoteFor(std::uint64_t round, std::uint32_t vacant_ms) {
+  LeaseVotes votes;
+  votes.m_number = round;
+  votes.m_grants.push_back(LeaseGrant{kSlot, vacant_ms});
+  return votes;
+}
+
+RunKey KeyMintedAt(UnixMs minted) {
+  RunKey key;
+  key.m_slot = kSlot;
+  key.m_text = "customer/key";
+  key.m_minted = minted;
+  return key;
+}
+
+// A holder after the votes of two of three witnesses, one of which was just
+// started and knows of no vacancy before that.
+class HalfAskedHolder final {
+ public:
+  HalfAskedHolder() : m_leases(m_terms), m_guard(m_terms, RunGuardSettings()) {
+    m_leases.SetElectorate(kListed, m_clock.Now());
+    m_round = m_leases.StartRound({kSlot}, m_clock.Now(), kNow);
+    Vote("a", 10);
+    Vote("b", 60'000);
+  }
+
+  void Vote(const char* witness, std::uint32_t vacant_ms) {
+    m_leases.OnVotes(InstanceId(witness), VoteFor(m_round, vacant_ms),
+                     m_clock.Now(), kNow);
+  }
+
+  RunVerdict Admit(UnixMs minted) {
+    return m_guard.Admit(KeyMintedAt(minted), 1,
+                         m_leases.Held(kSlot, m_clock.Now(), kNow),
+                         m_clock.Now(), kNow);
+  }
+
+  ManualClock m_clock;
+
+ private:
+  const LeaseTerms m_terms;
+  LeaseHolder m_leases;
+  RunGuard m_guard;
+  std::uint64_t m_round = 0;
+};
+
+TEST_CASE("a key is not called too old before all witnesses have voted") {
+  HalfAskedHolder holder;
+  REQUIRE(holder.Admit(kNow - 200) == RunVerdict::kNoLease);
+
+  // The last vote shows that the slot was vacant for long
+  holder.Vote("c", 60'000);
+  REQUIRE(holder.Admit(kNow - 200) == RunVerdict::kRun);
+}
+
+TEST_CASE("a key is too old once the last witness had time to vote") {
+  HalfAskedHolder holder;
+  holder.m_clock.Advance(LeaseHolder::kVoteTime);
+  REQUIRE(holder.Admit(kNow - 200) == RunVerdict::kTooOld);
+}
+
+TEST_CASE("a key that is forgotten is too old whatever the votes") {
+  HalfAskedHolder holder;
+  REQUIRE(holder.Admit(kNow - RunGuardSettings().m_window.count()) ==
+          RunVerdict::kTooOld);
+}
+
+}  // namespace
+}  // namespace jackdawrack
