Tell which records are missing when a peer asks for what is published

The taker kept them without end, as its watch begins behind their removal, and so went on sending to upstreams that had gone.

The test shows the drop; it could not run on the code before, which has no way to tell such records apart. The format of the exchange is 2; another one is refused and logged, as before.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -181,13 +181,17 @@
       return std::nullopt;
     }
     return PublishedSnapshot{m_feed.Revision(), m_state.Table()->Config(),
-                             m_state.Directory().Records()};
+                             m_state.Directory().Records(),
+                             m_state.Directory().Missing()};
   }
 
   void TakeSnapshot(const PublishedSnapshot& snapshot) {
     std::vector<PublishedChange> listing{snapshot.m_config};
     listing.insert(listing.end(), snapshot.m_replicas.begin(),
                    snapshot.m_replicas.end());
+    for (const UpstreamId& missing : snapshot.m_missing) {
+      listing.emplace_back(ReplicaLapse{missing});
+    }
     m_feed.TakeSnapshot(listing, snapshot.m_revision);
   }
 
--- a/packages/exchange/include/exchange/peer_message.h
+++ b/packages/exchange/include/exchange/peer_message.h
@@ -33,6 +33,8 @@
   std::uint64_t m_revision = 0;
   RoutingConfig m_config;
   std::vector<ReplicaRecord> m_replicas;
+  /// Those of them whose records are missing in the store since an outage.
+  std::vector<UpstreamId> m_missing;
 
   friend bool operator==(const PublishedSnapshot&,
                          const PublishedSnapshot&) = default;
--- a/packages/exchange/src/peer_message.cpp
+++ b/packages/exchange/src/peer_message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Raised whenever the bytes of a message change.
-constexpr std::uint32_t kFormat = 1;
+constexpr std::uint32_t kFormat = 2;
 
 // Stores a duration as its count of milliseconds.
 template <typename Archive>
@@ -80,7 +80,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, PublishedSnapshot& value) {
-  archive(value.m_revision, value.m_config, value.m_replicas);
+  archive(value.m_revision, value.m_config, value.m_replicas, value.m_missing);
 }
 
 template <typename Archive>
--- a/packages/gateway/tests/feed_reader_test.cpp
+++ b/packages/gateway/tests/feed_reader_test.cpp
@@ -134,5 +134,18 @@
           UpstreamId("a"));
 }
 
+TEST_CASE("what a peer's snapshot holds as missing is dropped here as well") {
+  Reading reading;
+  reading.m_reader.TakeSnapshot(
+      {MakeRecord("gone", 5), MakeRecord("here", 5), RoutingConfig{},
+       ReplicaLapse{UpstreamId("gone")}},
+      50);
+  REQUIRE(reading.m_state.Directory().Size() == 2);
+  reading.m_state.DropLapsed(BootClock().Now() + ReplicaDirectory::kLapseGrace);
+  REQUIRE(reading.m_state.Directory().Size() == 1);
+  REQUIRE(reading.m_state.Directory().Records().front().m_id ==
+          UpstreamId("here"));
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/routing/include/routing/published_change.h
+++ b/packages/routing/include/routing/published_change.h
@@ -20,6 +20,14 @@
                          const ReplicaRemoval&) = default;
 };
 
+/// The record of an upstream is missing since an outage of the store; it is
+/// dropped unless the upstream reports again.
+struct ReplicaLapse {
+  UpstreamId m_id;
+
+  friend bool operator==(const ReplicaLapse&, const ReplicaLapse&) = default;
+};
+
 /// A value that is no configuration and no upstream's record.
 struct UnreadableValue {
   std::string m_key;
@@ -30,8 +38,11 @@
 };
 
 /// One change of what is published.
-using PublishedChange =
-    std::variant<RoutingConfig, ReplicaRecord, ReplicaRemoval, UnreadableValue>;
+using PublishedChange = std::variant<RoutingConfig,
+                                     ReplicaRecord,
+                                     ReplicaRemoval,
+                                     ReplicaLapse,
+                                     UnreadableValue>;
 
 /// Changes, and the revision up to which they are complete.
 struct PublishedChanges {
--- a/packages/routing/include/routing/replica_directory.h
+++ b/packages/routing/include/routing/replica_directory.h
@@ -26,6 +26,9 @@
   /// Drops a record, or marks it as missing while removals are in doubt.
   void Remove(const UpstreamId& id, TimePoint now);
 
+  /// Marks a record as missing; it is dropped after the grace.
+  void MarkMissing(const UpstreamId& id, TimePoint now);
+
   /// Takes a whole listing: what it lacks counts as removed.
   void ApplyListing(const std::vector<ReplicaRecord>& listed, TimePoint now);
 
@@ -38,6 +41,9 @@
   /// All records, draining ones included, by id.
   [[nodiscard]] std::vector<ReplicaRecord> Records() const;
 
+  /// Records that are missing and not yet dropped.
+  [[nodiscard]] std::vector<UpstreamId> Missing() const;
+
   [[nodiscard]] std::size_t Size() const { return m_entries.size(); }
 
  private:
--- a/packages/routing/src/published_state.cpp
+++ b/packages/routing/src/published_state.cpp
@@ -24,6 +24,8 @@
       m_directory.Apply(*record);
     } else if (const auto* removal = std::get_if<ReplicaRemoval>(&change)) {
       m_directory.Remove(removal->m_id, now);
+    } else if (const auto* lapse = std::get_if<ReplicaLapse>(&change)) {
+      m_directory.MarkMissing(lapse->m_id, now);
     } else if (const auto* bad = std::get_if<UnreadableValue>(&change)) {
       LogEvent(EventId::kPublishedValueIgnored, "key={} reason=\"{}\"",
                bad->m_key, bad->m_reason);
@@ -45,6 +47,11 @@
     }
   }
   m_directory.ApplyListing(records, now);
+  for (const PublishedChange& change : listing) {
+    if (const auto* lapse = std::get_if<ReplicaLapse>(&change)) {
+      m_directory.MarkMissing(lapse->m_id, now);
+    }
+  }
   m_has_listing = true;
   LogEvent(EventId::kReplicasListed, "listed={} known={}", records.size(),
            m_directory.Size());
--- a/packages/routing/src/replica_directory.cpp
+++ b/packages/routing/src/replica_directory.cpp
@@ -33,6 +33,13 @@
   }
 }
 
+void ReplicaDirectory::MarkMissing(const UpstreamId& id, TimePoint now) {
+  const auto found = m_entries.find(id);
+  if (found != m_entries.end() && !found->second.m_drop_at) {
+    found->second.m_drop_at = now + kLapseGrace;
+  }
+}
+
 void ReplicaDirectory::ApplyListing(const std::vector<ReplicaRecord>& listed,
                                     TimePoint now) {
   std::set<UpstreamId> present;
@@ -60,6 +67,16 @@
   return m_entries.size() != before;
 }
 
+std::vector<UpstreamId> ReplicaDirectory::Missing() const {
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.m_drop_at) {
+      missing.push_back(id);
+    }
+  }
+  return missing;
+}
+
 std::vector<ReplicaRecord> ReplicaDirectory::Records() const {
   std::vector<ReplicaRecord> records;
   records.reserve(m_entries.size());
--- a/packages/routing/tests/replica_directory_test.cpp
+++ b/packages/routing/tests/replica_directory_test.cpp
@@ -40,10 +40,12 @@
   directory.NoteDisturbance(clock.Now());
   directory.ApplyListing({}, clock.Now());
   REQUIRE(directory.Size() == 2);
+  REQUIRE(directory.Missing().size() == 2);
 
   // One reports again, the other stays missing
   clock.Advance(Milliseconds(1'500));
   directory.Apply(MakeRecord("back", 1, 2));
+  REQUIRE(directory.Missing() == std::vector{UpstreamId("lapsed")});
   REQUIRE_FALSE(directory.DropLapsed(clock.Now()));
   clock.Advance(Milliseconds(1'000));
   REQUIRE(directory.DropLapsed(clock.Now()));
