Refuse what would be served late; hold back from replicas whose queues grow

Cause: nothing bounded the requests under way but connections.

Two decisions, without any exchange: - admission: while a queue stands for the services that a request needs, it is refused with 503 and the expected wait as Retry-After if it is not expected to be answered within a quarter of its target; a less urgent kind of the same services earlier. The wait follows from requests under way and latencies. - a limit of requests under way at each replica, lowered by refusals and by answers that take twice as long as in the calmest second of the last 20.

--- a/packages/gateway/src/part_run.cpp
+++ b/packages/gateway/src/part_run.cpp
@@ -267,6 +267,10 @@
   m_may_have_run = m_may_have_run || IsRunning();
   m_is_over = true;
   m_wake_at = TimePoint::max();
+  if (m_is_waiting) {
+    m_is_waiting = false;
+    m_group.StopWaiting(this);
+  }
   StopAttempts(now);
 }
 
--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -43,12 +43,18 @@
   m_cold_until = BootClock().Now() + record.m_cold_time;
 }
 
+void ReplicaPool::SetConnectionShare(std::size_t connections) {
+  m_share = connections;
+  m_concurrency.SetMost(connections);
+}
+
 ReplicaCandidate ReplicaPool::Candidate(TimePoint now) {
   ReplicaCandidate candidate;
   const bool has_idle =
       std::any_of(m_channels.begin(), m_channels.end(),
                   [](const auto& channel) { return channel->IsIdle(); });
-  candidate.m_is_free = has_idle || MayOpen(now);
+  candidate.m_is_free =
+      (has_idle || MayOpen(now)) && m_waits.size() < m_concurrency.Value();
   candidate.m_is_usable = !m_is_retired && !m_record.m_draining;
   candidate.m_is_home = m_settings.m_is_home;
   candidate.m_is_cold = now < m_cold_until;
@@ -158,6 +164,17 @@
                                                   : ExchangeVerdict::kSuccess;
 }
 
+void ReplicaPool::Observe(ExchangeVerdict verdict,
+                          Duration took,
+                          TimePoint now) {
+  m_observation.Record(verdict, took, now);
+  if (verdict == ExchangeVerdict::kRefused) {
+    m_concurrency.RecordRefusal(now);
+  } else if (verdict == ExchangeVerdict::kSuccess) {
+    m_concurrency.RecordAnswer(took, now);
+  }
+}
+
 void ReplicaPool::OnEnd(std::uint64_t serial,
                         const UpstreamChannel& channel,
                         ExchangeResult result,
@@ -173,7 +190,7 @@
 
   // A request that was given up before it was sent says nothing of the replica
   if (!(wait.m_is_abandoned && result.m_end == ExchangeEnd::kNotSent)) {
-    m_observation.Record(Judge(result), now - wait.m_since, now);
+    Observe(Judge(result), now - wait.m_since, now);
   }
   if (result.m_answer && result.m_answer->result_int() == kStatusMisdirected) {
     LogEvent(EventId::kReplicaMisdirected, "upstream={} address={}",
--- a/packages/gateway/src/replica_pool.h
+++ b/packages/gateway/src/replica_pool.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "routing/concurrency_limit.h"
 #include "routing/replica_choice.h"
 #include "routing/replica_observation.h"
 #include "routing/replica_record.h"
@@ -67,7 +68,7 @@
   void Update(const ReplicaRecord& record);
 
   /// Connections that this instance may hold.
-  void SetConnectionShare(std::size_t connections) { m_share = connections; }
+  void SetConnectionShare(std::size_t connections);
 
   /// Takes no new work: it was removed, or another upstream has its address.
   void Retire() { m_is_retired = true; }
@@ -96,6 +97,7 @@
   [[nodiscard]] bool MayOpen(TimePoint now) const;
   void NoteOpening(bool has_succeeded, TimePoint now);
   [[nodiscard]] ExchangeVerdict Judge(const ExchangeResult& result) const;
+  void Observe(ExchangeVerdict verdict, Duration took, TimePoint now);
   Wait TakeWait(std::uint64_t serial);
 
   boost::asio::io_context& m_context;
@@ -103,6 +105,7 @@
   const ReplicaPoolSettings m_settings;
   const CapacityListener m_on_capacity;
   ReplicaObservation m_observation;
+  ConcurrencyLimit m_concurrency;
   TimePoint m_cold_until{};
   std::size_t m_share = 1;
   /// No connection is opened before; grows while openings fail.
--- a/packages/gateway/src/replica_set.cpp
+++ b/packages/gateway/src/replica_set.cpp
@@ -30,13 +30,28 @@
     : m_choice(settings.m_replica_choice),
       m_budget(settings.m_retry_budget, slack_from) {}
 
-ReplicaPick ReplicaGroup::Choose(const std::vector<UpstreamId>& tried,
-                                 TimePoint now) {
+void ReplicaGroup::UpdateCandidates(TimePoint now) {
   m_candidates.clear();
   for (const auto& pool : m_pools) {
     m_candidates.push_back(pool->Candidate(now));
-    if (Contains(tried, pool->Record().m_id)) {
-      m_candidates.back().m_is_usable = false;
+  }
+}
+
+ServiceLoad ReplicaGroup::Load(TimePoint now) {
+  m_queue.Note(!m_waiters.empty(), now);
+  if (!m_queue.IsStanding(now)) {
+    return {};
+  }
+  UpdateCandidates(now);
+  return EstimateLoad(m_candidates, m_waiters.size());
+}
+
+ReplicaPick ReplicaGroup::Choose(const std::vector<UpstreamId>& tried,
+                                 TimePoint now) {
+  UpdateCandidates(now);
+  for (std::size_t index = 0; index < m_pools.size(); ++index) {
+    if (Contains(tried, m_pools[index]->Record().m_id)) {
+      m_candidates[index].m_is_usable = false;
     }
   }
   const auto best = ChooseReplica(m_candidates, m_choice, m_rotation++);
@@ -49,6 +64,14 @@
 void ReplicaGroup::WaitForCapacity(std::weak_ptr<void> owner,
                                    std::function<void()> retry) {
   m_waiters.push_back(Waiter{std::move(owner), std::move(retry)});
+  m_queue.Note(true, BootClock().Now());
+}
+
+void ReplicaGroup::StopWaiting(const void* owner) {
+  m_waiters.remove_if([owner](const Waiter& waiter) {
+    return waiter.m_owner.lock().get() == owner;
+  });
+  m_queue.Note(!m_waiters.empty(), BootClock().Now());
 }
 
 void ReplicaGroup::OnCapacity() {
@@ -59,6 +82,7 @@
       waiter.m_retry();
     }
   }
+  m_queue.Note(!m_waiters.empty(), BootClock().Now());
 }
 
 ReplicaSet::ReplicaSet(boost::asio::io_context& context,
--- a/packages/gateway/src/replica_set.h
+++ b/packages/gateway/src/replica_set.h
@@ -6,9 +6,11 @@
 
 #include "gateway/gateway_settings.h"
 #include "replica_pool.h"
+#include "routing/admission.h"
 #include "routing/connection_share.h"
 #include "routing/published_state.h"
 #include "routing/retry_budget.h"
+#include "routing/standing_queue.h"
 
 namespace jackdawrack {
 
@@ -41,10 +43,17 @@
     return m_pools;
   }
 
+  /// How long a request that arrives now is expected to take; no load unless
+  /// a queue stands.
+  [[nodiscard]] ServiceLoad Load(TimePoint now);
+
   /// Calls `retry` once when a connection may have become free; it is dropped
   /// with `owner`.
   void WaitForCapacity(std::weak_ptr<void> owner, std::function<void()> retry);
 
+  /// `owner` does not wait any more.
+  void StopWaiting(const void* owner);
+
   /// Wakes the requests that wait.
   void OnCapacity();
 
@@ -54,11 +63,14 @@
     std::function<void()> m_retry;
   };
 
+  void UpdateCandidates(TimePoint now);
+
   const ReplicaChoiceSettings m_choice;
   RetryBudget m_budget;
   std::vector<std::shared_ptr<ReplicaPool>> m_pools;
   std::vector<ReplicaCandidate> m_candidates;
   std::list<Waiter> m_waiters;
+  StandingQueue m_queue;
   std::size_t m_rotation = 0;
 };
 
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -1,5 +1,6 @@
 #include "request_router.h"
 
+#include <fmt/format.h>
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
@@ -7,6 +8,7 @@
 #include "core/event.h"
 #include "forward_run.h"
 #include "gather_run.h"
+#include "routing/gather_progress.h"
 
 namespace jackdawrack {
 namespace {
@@ -93,6 +95,49 @@
   return call;
 }
 
+std::optional<Milliseconds> RequestRouter::FindRefusalPause(
+    const CallerCall& call) {
+  const TimePoint now = BootClock().Now();
+  const Route& route = *call.m_route;
+  std::vector<ServiceLoad> loads;
+  AdmissionRequest request;
+  request.m_target_latency = route.m_target_latency;
+  request.m_time_left = call.m_final_at - now;
+  request.m_rank = call.m_table->RankOf(route);
+  if (route.IsScattered()) {
+    const auto& shards = route.m_gather.m_shards;
+    for (const ServiceName& shard : shards) {
+      loads.push_back(m_context.m_replicas.Group(shard).Load(now));
+    }
+    const auto parts = static_cast<std::uint32_t>(shards.size());
+    request.m_spare_services =
+        parts - LeastParts(parts, route.m_gather.m_least_share);
+  } else {
+    for (const WeightedService& target : route.m_services) {
+      loads.push_back(m_context.m_replicas.Group(target.m_service).Load(now));
+    }
+    request.m_spare_services = loads.size() - 1;
+  }
+  return RefusalPause(request, std::move(loads));
+}
+
+void RequestRouter::RefuseBusy(const CallerCall& call,
+                               Milliseconds pause,
+                               const RequestRun::AnswerHandler& answer) {
+  CallerAnswer refusal =
+      MakeNotRunAnswer(pause, "More requests wait than can be served in time.");
+  LogEvent(EventId::kRequestRefusedBusy,
+           "request={} route={} version={} retry_after_ms={}",
+           call.m_request_id, call.m_route->m_name, call.m_table->Version(),
+           pause.count());
+  m_context.m_metrics
+      .CounterFor("jackdawrack_requests_total",
+                  fmt::format("route=\"{}\",status=\"{}\"",
+                              call.m_route->m_name, refusal.m_status))
+      .Add();
+  answer(std::move(refusal));
+}
+
 std::shared_ptr<RequestRun> RequestRouter::Serve(
     CallerMessage message,
     TimePoint arrived_at,
@@ -123,8 +168,12 @@
     return nullptr;
   }
 
-  // Begin its run
+  // Begin its run, unless it would only make others late
   auto call = MakeCall(message, *route, arrived_at);
+  if (const auto pause = FindRefusalPause(*call)) {
+    RefuseBusy(*call, *pause, answer);
+    return nullptr;
+  }
   if (route->IsScattered()) {
     return std::make_shared<GatherRun>(m_context, std::move(call),
                                        std::move(answer));
--- a/packages/gateway/src/request_router.h
+++ b/packages/gateway/src/request_router.h
@@ -31,6 +31,12 @@
                                                      const Route& route,
                                                      TimePoint arrived_at);
 
+  [[nodiscard]] std::optional<Milliseconds> FindRefusalPause(
+      const CallerCall& call);
+  void RefuseBusy(const CallerCall& call,
+                  Milliseconds pause,
+                  const RequestRun::AnswerHandler& answer);
+
   RunContext m_context;
   const PublishedState& m_state;
   bool m_is_ending = false;
--- a/packages/routing/include/routing/gather_progress.h
+++ b/packages/routing/include/routing/gather_progress.h
@@ -6,6 +6,9 @@
 
 namespace jackdawrack {
 
+/// Parts of a query that an answer has to hold at least, 1 or more.
+[[nodiscard]] std::uint32_t LeastParts(std::uint32_t parts, double least_share);
+
 /// Moments that bound a scattered query.
 struct GatherTiming {
   /// From here on an answer that covers enough is given as it is.
--- a/packages/routing/include/routing/route_table.h
+++ b/packages/routing/include/routing/route_table.h
@@ -27,15 +27,23 @@
   [[nodiscard]] const Route* Find(std::string_view host,
                                   std::string_view path) const;
 
+  /// By how much another route that asks the same service, or one of the same
+  /// shards, is more urgent; `route` is one of this table.
+  [[nodiscard]] std::uint32_t RankOf(const Route& route) const;
+
   /// Connections that an upstream of the service accepts; 1 if unknown.
   [[nodiscard]] std::uint32_t ConnectionLimit(const ServiceName& service) const;
 
  private:
+  void RankRoutes();
+
   using PrefixIndex = std::unordered_map<std::string_view, const Route*>;
 
   const RoutingConfig m_config;
   std::unordered_map<std::string_view, PrefixIndex> m_hosts;
   std::unordered_map<ServiceName, std::uint32_t> m_connection_limits;
+  /// Rank of each route, in their order.
+  std::vector<std::uint32_t> m_ranks;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/packages/routing/src/connection_share.cpp
+++ b/packages/routing/src/connection_share.cpp
@@ -23,8 +23,7 @@
   const std::size_t sharers = is_home ? fleet.m_home : fleet.m_remote;
   const double fair = part * bounds.m_limit /
                       static_cast<double>(std::max<std::size_t>(sharers, 1));
-  const std::size_t useful =
-      is_home ? bounds.m_slots + 1 : bounds.m_slots;
+  const std::size_t useful = is_home ? bounds.m_slots + 1 : bounds.m_slots;
   return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(fair)), 1,
                                  std::max<std::size_t>(useful, 1));
 }
--- a/packages/routing/src/gather_progress.cpp
+++ b/packages/routing/src/gather_progress.cpp
@@ -11,14 +11,14 @@
 /// Keeps 0.9 of 10 parts from becoming 10 by rounding of the product.
 constexpr double kRoundingSlack = 1e-9;
 
+}  // namespace
+
 std::uint32_t LeastParts(std::uint32_t parts, double least_share) {
   const double wanted = std::ceil(parts * least_share - kRoundingSlack);
   return std::clamp(static_cast<std::uint32_t>(std::max(wanted, 1.0)), 1U,
                     parts);
 }
 
-}  // namespace
-
 GatherProgress::GatherProgress(std::uint32_t parts,
                                double least_share,
                                GatherTiming timing)
--- a/packages/routing/src/route_table.cpp
+++ b/packages/routing/src/route_table.cpp
@@ -1,6 +1,21 @@
 #include "routing/route_table.h"
 
+#include <algorithm>
+
+#include "core/check.h"
+
 namespace jackdawrack {
+namespace {
+
+std::vector<ServiceName> ServicesOf(const Route& route) {
+  std::vector<ServiceName> services = route.m_gather.m_shards;
+  for (const WeightedService& target : route.m_services) {
+    services.push_back(target.m_service);
+  }
+  return services;
+}
+
+}  // namespace
 
 RouteTable::RouteTable(RoutingConfig config) : m_config(std::move(config)) {
   for (const Route& route : m_config.m_routes) {
@@ -9,6 +24,32 @@
   for (const ServiceLimits& service : m_config.m_services) {
     m_connection_limits[service.m_name] = service.m_connection_limit;
   }
+  RankRoutes();
+}
+
+void RouteTable::RankRoutes() {
+  std::unordered_map<ServiceName, std::uint32_t> most_urgent;
+  for (const Route& route : m_config.m_routes) {
+    for (const ServiceName& service : ServicesOf(route)) {
+      const auto place =
+          most_urgent.try_emplace(service, route.m_priority).first;
+      place->second = std::min(place->second, route.m_priority);
+    }
+  }
+  for (const Route& route : m_config.m_routes) {
+    std::uint32_t urgent = route.m_priority;
+    for (const ServiceName& service : ServicesOf(route)) {
+      urgent = std::min(urgent, most_urgent.at(service));
+    }
+    m_ranks.push_back(route.m_priority - urgent);
+  }
+}
+
+std::uint32_t RouteTable::RankOf(const Route& route) const {
+  const auto index =
+      static_cast<std::size_t>(&route - m_config.m_routes.data());
+  JR_CHECK(index < m_ranks.size());
+  return m_ranks[index];
 }
 
 const Route* RouteTable::Find(std::string_view host,
--- /dev/null
+++ b/packages/routing/src/standing_queue.cpp
@@ -0,0 +1,23 @@
+#include "routing/standing_queue.h"
+
+namespace jackdawrack {
+
+bool StandingQueue::HasEnded(TimePoint now) const {
+  return !m_is_waiting && now - m_last_waiting >= kEmptyTime;
+}
+
+void StandingQueue::Note(bool is_waiting, TimePoint now) {
+  if (is_waiting && HasEnded(now)) {
+    m_began = now;
+  }
+  if (is_waiting || m_is_waiting) {
+    m_last_waiting = now;
+  }
+  m_is_waiting = is_waiting;
+}
+
+bool StandingQueue::IsStanding(TimePoint now) const {
+  return !HasEnded(now) && now - m_began >= kStandingTime;
+}
+
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/admission_test.cpp
@@ -0,0 +1,113 @@
+#include "routing/admission.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+#include "routing/standing_queue.h"
+
+namespace jackdawrack {
+namespace {
+
+constexpr Milliseconds kTarget{200};
+
+ReplicaCandidate MakeBusy(std::uint32_t in_flight, Milliseconds latency) {
+  ReplicaCandidate candidate;
+  candidate.m_in_flight = in_flight;
+  candidate.m_latency = latency;
+  return candidate;
+}
+
+AdmissionRequest MakeRequest(std::size_t spare, std::uint32_t rank = 0) {
+  AdmissionRequest request;
+  request.m_target_latency = kTarget;
+  request.m_time_left = Milliseconds(2'400);
+  request.m_spare_services = spare;
+  request.m_rank = rank;
+  return request;
+}
+
+ServiceLoad MakeLoad(Milliseconds wait) {
+  return ServiceLoad{wait, Milliseconds(10)};
+}
+
+TEST_CASE("the wait is what is waiting over what is answered in a time") {
+  // Five under way at 10 ms: one answer each 2 ms
+  const std::array replicas{MakeBusy(2, Milliseconds(10)),
+                            MakeBusy(3, Milliseconds(10))};
+  const ServiceLoad load = EstimateLoad(replicas, 40);
+  REQUIRE(load.m_wait == Milliseconds(80));
+  REQUIRE(load.m_latency == Milliseconds(10));
+}
+
+TEST_CASE("replicas that are stalled or take no work answer nothing") {
+  ReplicaCandidate stalled = MakeBusy(3, Milliseconds(10));
+  stalled.m_oldest_wait = Milliseconds(200);
+  ReplicaCandidate leaving = MakeBusy(3, Milliseconds(10));
+  leaving.m_is_usable = false;
+  const std::array replicas{stalled, leaving, MakeBusy(1, Milliseconds(10))};
+  REQUIRE(EstimateLoad(replicas, 4).m_wait == Milliseconds(40));
+
+  // With nothing under way nothing can be told
+  const std::array none{stalled, leaving};
+  REQUIRE(EstimateLoad(none, 4).m_wait == Duration::zero());
+}
+
+TEST_CASE("what waits too long is refused with the time to come back") {
+  const auto pause =
+      RefusalPause(MakeRequest(0), {MakeLoad(Milliseconds(120))});
+  REQUIRE(pause == Milliseconds(120));
+  REQUIRE_FALSE(RefusalPause(MakeRequest(0), {MakeLoad(Milliseconds(20))}));
+
+  // A third of the time left at most
+  REQUIRE(RefusalPause(MakeRequest(0), {MakeLoad(Milliseconds(5'000))}) ==
+          Milliseconds(800));
+}
+
+TEST_CASE("slow replicas for which nobody waits refuse nothing") {
+  const ServiceLoad slow{Duration::zero(), Milliseconds(900)};
+  REQUIRE_FALSE(RefusalPause(MakeRequest(0), {slow}));
+}
+
+TEST_CASE("a shard that the answer can do without does not decide") {
+  const std::vector<ServiceLoad> loads{MakeLoad(Milliseconds(0)),
+                                       MakeLoad(Milliseconds(500)),
+                                       MakeLoad(Milliseconds(5))};
+  REQUIRE(RefusalPause(MakeRequest(0), loads));
+  REQUIRE_FALSE(RefusalPause(MakeRequest(1), loads));
+}
+
+TEST_CASE("the less urgent of two kinds is refused first") {
+  const std::vector<ServiceLoad> loads{MakeLoad(Milliseconds(30))};
+  REQUIRE_FALSE(RefusalPause(MakeRequest(0, 0), loads));
+  REQUIRE(RefusalPause(MakeRequest(0, 1), loads));
+}
+
+TEST_CASE("a queue that a pause leaves behind does not stand") {
+  ManualClock clock;
+  StandingQueue queue;
+  queue.Note(true, clock.Now());
+  clock.Advance(Milliseconds(300));
+  queue.Note(false, clock.Now());
+  REQUIRE_FALSE(queue.IsStanding(clock.Now()));
+  clock.Advance(StandingQueue::kEmptyTime);
+  queue.Note(true, clock.Now());
+  clock.Advance(Milliseconds(300));
+  REQUIRE_FALSE(queue.IsStanding(clock.Now()));
+}
+
+TEST_CASE("a queue that fills again at once stands until it stays empty") {
+  ManualClock clock;
+  StandingQueue queue;
+  for (int turn = 0; turn < 10; ++turn) {
+    queue.Note(true, clock.Now());
+    clock.Advance(Milliseconds(40));
+    queue.Note(false, clock.Now());
+    clock.Advance(Milliseconds(10));
+  }
+  REQUIRE(queue.IsStanding(clock.Now()));
+  clock.Advance(StandingQueue::kEmptyTime);
+  REQUIRE_FALSE(queue.IsStanding(clock.Now()));
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- /dev/null
+++ b/packages/routing/tests/concurrency_limit_test.cpp
@@ -0,0 +1,67 @@
+#include "routing/concurrency_limit.h"
+
+#include <catch2/catch.hpp>
+
+namespace jackdawrack {
+namespace {
+
+constexpr Milliseconds kCalm{10};
+
+// One answer each 50 ms.
+void Answer(ConcurrencyLimit& limit,
+            ManualClock& clock,
+            Milliseconds latency,
+            int count) {
+  for (int answer = 0; answer < count; ++answer) {
+    clock.Advance(Milliseconds(50));
+    limit.RecordAnswer(latency, clock.Now());
+  }
+}
+
+TEST_CASE("the limit begins at the greatest and follows it") {
+  ConcurrencyLimit limit;
+  limit.SetMost(4);
+  REQUIRE(limit.Value() == 4);
+  limit.SetMost(2);
+  REQUIRE(limit.Value() == 2);
+  limit.SetMost(3);
+  REQUIRE(limit.Value() == 3);
+}
+
+TEST_CASE("refusals lower the limit to one at least, answers raise it again") {
+  ManualClock clock;
+  ConcurrencyLimit limit;
+  limit.SetMost(3);
+  for (int refusal = 0; refusal < 20; ++refusal) {
+    limit.RecordRefusal(clock.Now());
+  }
+  REQUIRE(limit.Value() == 1);
+  clock.Advance(ConcurrencyLimit::kBurstTime);
+  limit.RecordRefusal(clock.Now());
+  REQUIRE(limit.Value() == 1);
+  Answer(limit, clock, kCalm, 20);
+  REQUIRE(limit.Value() == 3);
+}
+
+TEST_CASE("answers that waited at the replica lower the limit") {
+  ManualClock clock;
+  ConcurrencyLimit limit;
+  limit.SetMost(4);
+  Answer(limit, clock, kCalm, 40);
+  REQUIRE(limit.Value() == 4);
+  Answer(limit, clock, Milliseconds(90), 20);
+  REQUIRE(limit.Value() == 1);
+  Answer(limit, clock, kCalm, 60);
+  REQUIRE(limit.Value() == 4);
+}
+
+TEST_CASE("a replica that was always slow keeps its limit") {
+  ManualClock clock;
+  ConcurrencyLimit limit;
+  limit.SetMost(4);
+  Answer(limit, clock, Milliseconds(200), 100);
+  REQUIRE(limit.Value() == 4);
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- a/packages/routing/tests/route_table_test.cpp
+++ b/packages/routing/tests/route_table_test.cpp
@@ -46,5 +46,23 @@
   REQUIRE(table.ConnectionLimit(ServiceName("t")) == 1);
 }
 
+TEST_CASE("routes are ranked among those that ask the same services") {
+  RoutingConfig config;
+  Route sweep = MakeRoute("sweep", "a.example", "/sweep/");
+  sweep.m_priority = 1;
+  sweep.m_gather.m_shards = {ServiceName("s1"), ServiceName("s2")};
+  Route check = MakeRoute("check", "a.example", "/check/");
+  check.m_priority = 3;
+  check.m_gather.m_shards = {ServiceName("s2"), ServiceName("s3")};
+  Route fetch = MakeRoute("fetch", "a.example", "/fetch/");
+  fetch.m_priority = 4;
+  fetch.m_services = {WeightedService{ServiceName("t"), 1}};
+  config.m_routes = {sweep, check, fetch};
+  const RouteTable table(config);
+  REQUIRE(table.RankOf(*table.Find("a.example", "/sweep/1")) == 0);
+  REQUIRE(table.RankOf(*table.Find("a.example", "/check/1")) == 2);
+  REQUIRE(table.RankOf(*table.Find("a.example", "/fetch/1")) == 0);
+}
+
 }  // namespace
 }  // namespace jackdawrack
