Answer operators on the platform: status, explain, burn by route, metrics by upstream

An instance that serves published routes answered every path with its metrics, and only logs could explain a request. The metrics name each published upstream (exchanges by end, requests under way, latency, share of failures), each service's queue and budget of repeats left, and what the process uses. burn counts a budget a route.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -10,9 +10,11 @@
 
 #include "core/event.h"
 #include "core/metrics.h"
+#include "core/process_usage.h"
 #include "exchange/peer_exchange.h"
 #include "gateway/feed_reader.h"
 #include "gateway/gateway.h"
+#include "gateway_operator_api.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 #include "platform/wire_names.h"
@@ -128,11 +130,13 @@
             [this](const HttpRequest& request, const HttpServer::Reply& reply) {
               reply(AnswerReadiness(request));
             }),
-        m_operators(m_context,
-                    MakeServerSettings(m_settings.m_operators),
-                    [this](const HttpRequest&, const HttpServer::Reply& reply) {
-                      reply(AnswerMetrics());
-                    }),
+        m_operator_api(MakeOperatorSources()),
+        m_operators(
+            m_context,
+            MakeServerSettings(m_settings.m_operators),
+            [this](const HttpRequest& request, const HttpServer::Reply& reply) {
+              reply(m_operator_api.Handle(request));
+            }),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_housekeeping(m_context),
         m_stop_timer(m_context) {}
@@ -229,17 +233,43 @@
     return reply;
   }
 
-  HttpReply AnswerMetrics() {
-    HttpReply reply;
-    reply.m_content_type = "text/plain; version=0.0.4";
-    reply.m_body = m_metrics.ToText() + GaugesText();
-    return reply;
+  GatewayOperatorSources MakeOperatorSources() {
+    GatewayOperatorSources sources;
+    sources.m_status = [this] { return Status(); };
+    sources.m_metrics = [this] { return MetricsText(); };
+    sources.m_explain = [this](const std::string& request) {
+      return m_gateway.Explain(request);
+    };
+    return sources;
+  }
+
+  [[nodiscard]] GatewayStatus Status() const {
+    GatewayStatus status;
+    status.m_instance = m_settings.m_id.Text();
+    status.m_failure_domain = m_settings.m_domain.Text();
+    status.m_is_ready = m_is_ready;
+    status.m_is_stopping = m_is_stopping;
+    status.m_config_version =
+        m_state.Table() == nullptr ? 0 : m_state.Table()->Version();
+    status.m_replicas = m_state.Directory().Size();
+    status.m_known_instances = CountInstances();
+    status.m_store_age = std::chrono::duration_cast<Milliseconds>(
+        BootClock().Now() - m_feed.LastAnswerAt());
+    status.m_is_store_lost = m_feed.IsLost();
+    return status;
+  }
+
+  std::string MetricsText() {
+    std::string text = m_metrics.ToText() + GaugesText();
+    m_gateway.WriteMetrics(text);
+    return text;
   }
 
   // What is read off the parts at the moment of asking.
   [[nodiscard]] std::string GaugesText() const {
     const std::chrono::duration<double> answer_age =
         BootClock().Now() - m_feed.LastAnswerAt();
+    const ProcessUsage usage = ProcessUsage::Now();
     return fmt::format(
         "jackdawrack_config_version {}\n"
         "jackdawrack_published_replicas {}\n"
@@ -249,12 +279,14 @@
         "jackdawrack_known_instances {}\n"
         "jackdawrack_caller_connections {}\n"
         "jackdawrack_upstream_connections {}\n"
-        "jackdawrack_log_lines_dropped_total {}\n",
+        "jackdawrack_log_lines_dropped_total {}\n"
+        "jackdawrack_process_cpu_seconds_total {:.3f}\n"
+        "jackdawrack_process_peak_bytes {}\n",
         m_state.Table() == nullptr ? 0 : m_state.Table()->Version(),
         m_state.Directory().Size(), m_store.CallCount(), answer_age.count(),
         m_feed.IsLost() ? 1 : 0, CountInstances(),
         m_gateway.CallerConnections(), m_gateway.UpstreamConnections(),
-        DroppedEvents());
+        DroppedEvents(), usage.m_processor_seconds, usage.m_peak_bytes);
   }
 
   [[nodiscard]] std::size_t CountInstances() const {
@@ -357,6 +389,7 @@
   Gateway m_gateway;
   PeerExchange m_exchange;
   HttpServer m_readiness;
+  GatewayOperatorApi m_operator_api;
   HttpServer m_operators;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_housekeeping;
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "core/metrics.h"
 #include "gateway/gateway_settings.h"
@@ -47,6 +49,14 @@
   /// Ends callers' connections that have waited long enough for a request.
   void EndIdle();
 
+  /// Appends metrics of upstreams and services in the Prometheus text format.
+  void WriteMetrics(std::string& out) const;
+
+  /// The trace of a request that was logged lately, as JSON; nothing if it is
+  /// not remembered.
+  [[nodiscard]] std::optional<std::string> Explain(
+      const std::string& request) const;
+
   /// Open connections of callers.
   [[nodiscard]] std::size_t CallerConnections() const;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "caller_listener.h"
 #include "core/event.h"
+#include "replica_metrics.h"
 #include "request_router.h"
 
 namespace jackdawrack {
@@ -29,7 +30,7 @@
         m_state(state),
         m_replicas(context, m_settings),
         m_router(RunContext{context, m_settings, m_replicas, m_hedge_delays,
-                            metrics},
+                            metrics, m_recent},
                  state),
         m_listener(context, m_settings.m_callers, m_router),
         m_sweep(context) {}
@@ -59,6 +60,7 @@
   const PublishedState& m_state;
   ReplicaSet m_replicas;
   HedgeDelays m_hedge_delays;
+  RecentRequests m_recent;
   RequestRouter m_router;
   CallerListener m_listener;
   boost::asio::steady_timer m_sweep;
@@ -103,6 +105,15 @@
   m_impl->m_listener.EndIdle(BootClock().Now(), kLeastIdle);
 }
 
+void Gateway::WriteMetrics(std::string& out) const {
+  WriteReplicaMetrics(m_impl->m_replicas, BootClock().Now(), out);
+}
+
+std::optional<std::string> Gateway::Explain(const std::string& request) const {
+  const FinishedTrace* trace = m_impl->m_recent.Find(request);
+  return trace == nullptr ? std::nullopt : std::optional(trace->ToJson());
+}
+
 std::size_t Gateway::CallerConnections() const {
   return m_impl->m_listener.OpenConnections();
 }
--- a/packages/gateway/src/replica_pool.cpp
+++ b/packages/gateway/src/replica_pool.cpp
@@ -168,10 +168,18 @@
                           Duration took,
                           TimePoint now) {
   m_observation.Record(verdict, took, now);
-  if (verdict == ExchangeVerdict::kRefused) {
-    m_concurrency.RecordRefusal(now);
-  } else if (verdict == ExchangeVerdict::kSuccess) {
-    m_concurrency.RecordAnswer(took, now);
+  switch (verdict) {
+    case ExchangeVerdict::kSuccess:
+      ++m_counts.m_answered;
+      m_concurrency.RecordAnswer(took, now);
+      return;
+    case ExchangeVerdict::kRefused:
+      ++m_counts.m_refused;
+      m_concurrency.RecordRefusal(now);
+      return;
+    case ExchangeVerdict::kFailed:
+      ++m_counts.m_failed;
+      return;
   }
 }
 
--- a/packages/gateway/src/replica_pool.h
+++ b/packages/gateway/src/replica_pool.h
@@ -30,6 +30,13 @@
   std::uint64_t m_serial = 0;
 };
 
+/// Exchanges with a replica by how they ended.
+struct ExchangeCounts {
+  std::uint64_t m_answered = 0;
+  std::uint64_t m_refused = 0;
+  std::uint64_t m_failed = 0;
+};
+
 /// What a pool takes from outside.
 struct ReplicaPoolSettings {
   /// Field in which upstreams echo the request id.
@@ -79,6 +86,9 @@
   /// No request is under way.
   [[nodiscard]] bool IsQuiet() const { return m_waits.empty(); }
 
+  /// Exchanges since the pool was made.
+  [[nodiscard]] const ExchangeCounts& Counts() const { return m_counts; }
+
   [[nodiscard]] const ReplicaRecord& Record() const { return m_record; }
   [[nodiscard]] std::size_t ChannelCount() const { return m_channels.size(); }
 
@@ -106,6 +116,7 @@
   const CapacityListener m_on_capacity;
   ReplicaObservation m_observation;
   ConcurrencyLimit m_concurrency;
+  ExchangeCounts m_counts;
   TimePoint m_cold_until{};
   std::size_t m_share = 1;
   /// No connection is opened before; grows while openings fail.
--- a/packages/gateway/src/replica_set.h
+++ b/packages/gateway/src/replica_set.h
@@ -51,6 +51,9 @@
   /// with `owner`.
   void WaitForCapacity(std::weak_ptr<void> owner, std::function<void()> retry);
 
+  /// Requests that wait for a connection.
+  [[nodiscard]] std::size_t WaitingCount() const { return m_waiters.size(); }
+
   /// `owner` does not wait any more.
   void StopWaiting(const void* owner);
 
@@ -89,6 +92,13 @@
   /// The group of a service; an empty one if nothing is published of it.
   [[nodiscard]] ReplicaGroup& Group(const ServiceName& service);
 
+  /// All groups by service.
+  [[nodiscard]] const std::unordered_map<ServiceName,
+                                         std::unique_ptr<ReplicaGroup>>&
+  Groups() const {
+    return m_groups;
+  }
+
   /// Closes overdue connections and forgets retired replicas that are quiet.
   void CloseOverdue(TimePoint now);
 
--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -80,6 +80,28 @@
   }
 }
 
+FinishedTrace MakeTrace(const FinishedRequest& finished, Duration took) {
+  const CallerCall& call = finished.m_call;
+  FinishedTrace trace;
+  trace.m_request = call.m_request_id;
+  trace.m_route = call.m_route->m_name;
+  trace.m_version = call.m_table->Version();
+  trace.m_status = finished.m_status;
+  trace.m_took = took;
+  trace.m_missing = finished.m_missing;
+  for (const auto& part : finished.m_parts) {
+    for (const Attempt& attempt : part->Attempts()) {
+      const ReplicaRecord& replica = attempt.m_pool->Record();
+      trace.m_sends.push_back(
+          SendTrace{replica.m_id.Text(), replica.m_service.Text(),
+                    NameOf(attempt.m_reason), NameOf(attempt.m_end),
+                    attempt.m_status, attempt.m_sent_at - call.m_arrived_at,
+                    attempt.m_ended_at - attempt.m_sent_at});
+    }
+  }
+  return trace;
+}
+
 void Count(const RunContext& context,
            const FinishedRequest& finished,
            const SendCounts& sends,
@@ -100,6 +122,11 @@
       .Add(sends.m_retries);
   metrics.CounterFor("jackdawrack_missing_parts_total", route)
       .Add(finished.m_missing);
+  const bool is_failure = finished.m_status >= kFirstFailureStatus;
+  metrics.CounterFor("jackdawrack_failed_requests_total", route)
+      .Add(is_failure ? 1 : 0);
+  metrics.CounterFor("jackdawrack_partial_answers_total", route)
+      .Add(!is_failure && finished.m_missing > 0 ? 1 : 0);
 }
 
 }  // namespace
@@ -136,6 +163,7 @@
   if (is_failure || is_sampled || finished.m_missing > 0) {
     WriteSends(finished);
   }
+  context.m_recent.Add(MakeTrace(finished, took));
 }
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -1,6 +1,5 @@
 #include "request_router.h"
 
-#include <fmt/format.h>
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
@@ -8,6 +7,7 @@
 #include "core/event.h"
 #include "forward_run.h"
 #include "gather_run.h"
+#include "request_log.h"
 #include "routing/gather_progress.h"
 
 namespace jackdawrack {
@@ -130,11 +130,7 @@
            "request={} route={} version={} retry_after_ms={}",
            call.m_request_id, call.m_route->m_name, call.m_table->Version(),
            pause.count());
-  m_context.m_metrics
-      .CounterFor("jackdawrack_requests_total",
-                  fmt::format("route=\"{}\",status=\"{}\"",
-                              call.m_route->m_name, refusal.m_status))
-      .Add();
+  RecordFinished(m_context, {call, {}, refusal.m_status, 0}, BootClock().Now());
   answer(std::move(refusal));
 }
 
--- a/packages/gateway/src/run_context.h
+++ b/packages/gateway/src/run_context.h
@@ -4,6 +4,7 @@
 
 #include "core/metrics.h"
 #include "gateway/gateway_settings.h"
+#include "recent_requests.h"
 #include "replica_set.h"
 #include "routing/hedge_delays.h"
 
@@ -16,6 +17,7 @@
   ReplicaSet& m_replicas;
   HedgeDelays& m_hedge_delays;
   MetricsRegistry& m_metrics;
+  RecentRequests& m_recent;
 };
 
 }  // namespace jackdawrack
--- a/packages/routing/include/routing/retry_budget.h
+++ b/packages/routing/include/routing/retry_budget.h
@@ -50,6 +50,9 @@
                              std::size_t fleet_size,
                              TimePoint now);
 
+  /// Repeats that retries may still take now.
+  [[nodiscard]] double Left(std::size_t fleet_size, TimePoint now);
+
   /// Returns a repeat that was not sent after all.
   void GiveBack();
 
@@ -62,7 +65,14 @@
     std::uint32_t m_repeats = 0;
   };
 
+  /// What the window allows, and what was sent in it.
+  struct Usage {
+    double m_allowance = 0;
+    std::uint32_t m_repeats = 0;
+  };
+
   Slice& SliceAt(TimePoint now);
+  [[nodiscard]] Usage UsageAt(std::size_t fleet_size, TimePoint now);
 
   RetryBudgetSettings m_settings;
   TimePoint m_slack_from;
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -22,42 +22,49 @@
   ++SliceAt(now).m_requests;
 }
 
-bool RetryBudget::TryTake(RepeatPurpose purpose,
-                          std::size_t fleet_size,
-                          TimePoint now) {
+RetryBudget::Usage RetryBudget::UsageAt(std::size_t fleet_size, TimePoint now) {
   JR_CHECK(fleet_size >= 1);
-  Slice& current = SliceAt(now);
+  (void)SliceAt(now);
 
   // Sum the window; one slice more counts for the repeats, since the window
   // slides inside a slice
+  Usage usage;
   std::uint32_t requests = 0;
-  std::uint32_t repeats = 0;
   for (const Slice& slice : m_slices) {
     const std::int64_t age = m_last_number - slice.m_number;
     if (slice.m_number < 0 || age > static_cast<std::int64_t>(kSlices)) {
       continue;
     }
-    repeats += slice.m_repeats;
+    usage.m_repeats += slice.m_repeats;
     if (age < static_cast<std::int64_t>(kSlices)) {
       requests += slice.m_requests;
     }
   }
-
-  double allowance = m_settings.m_ratio * requests;
+  usage.m_allowance = m_settings.m_ratio * requests;
   if (now >= m_slack_from) {
-    allowance += m_settings.m_slack / static_cast<double>(fleet_size);
-  }
-  allowance *= kUsablePart;
-  if (purpose == RepeatPurpose::kHedge) {
-    allowance *= kHedgePart;
+    usage.m_allowance += m_settings.m_slack / static_cast<double>(fleet_size);
   }
-  if (repeats + 1 > allowance) {
+  usage.m_allowance *= kUsablePart;
+  return usage;
+}
+
+bool RetryBudget::TryTake(RepeatPurpose purpose,
+                          std::size_t fleet_size,
+                          TimePoint now) {
+  const Usage usage = UsageAt(fleet_size, now);
+  const double part = purpose == RepeatPurpose::kHedge ? kHedgePart : 1.0;
+  if (usage.m_repeats + 1 > usage.m_allowance * part) {
     return false;
   }
-  ++current.m_repeats;
+  ++SliceAt(now).m_repeats;
   return true;
 }
 
+double RetryBudget::Left(std::size_t fleet_size, TimePoint now) {
+  const Usage usage = UsageAt(fleet_size, now);
+  return std::max(0.0, usage.m_allowance - usage.m_repeats);
+}
+
 void RetryBudget::GiveBack() {
   Slice& slice =
       m_slices[static_cast<std::size_t>(m_last_number) % m_slices.size()];
--- a/packages/routing/tests/retry_budget_test.cpp
+++ b/packages/routing/tests/retry_budget_test.cpp
@@ -19,6 +19,7 @@
     ++taken;
   }
   REQUIRE(taken <= 58 / kFleet);
+  REQUIRE(budget.Left(kFleet, clock.Now()) < 1);
   REQUIRE(taken >= 4);
 }
 
--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -53,6 +53,8 @@
   [[nodiscard]] std::string LogPath(std::size_t instance) const;
   [[nodiscard]] std::string LogText(std::size_t instance) const;
   [[nodiscard]] std::string Metrics(std::size_t instance) const;
+  /// Where operators ask the instance.
+  [[nodiscard]] Endpoint Operators(std::size_t instance = 0) const;
 
   // Stand-ins
 
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -156,11 +156,15 @@
 }
 
 std::string GatewayFleet::Metrics(std::size_t instance) const {
-  RawCaller caller(At(m_members[instance].m_first_place + 3).m_port);
+  RawCaller caller(Operators(instance).m_port);
   const auto reply = caller.Call("GET", "/metrics", "metrics");
   return reply ? reply->m_body : std::string();
 }
 
+Endpoint GatewayFleet::Operators(std::size_t instance) const {
+  return At(m_members[instance].m_first_place + 3);
+}
+
 GatewayFleet::StandinReplica& GatewayFleet::Find(const std::string& service,
                                                  const std::string& domain) {
   const auto found = std::find_if(
--- a/packages/tool/include/tool/burn_counts.h
+++ b/packages/tool/include/tool/burn_counts.h
@@ -6,11 +6,12 @@
 
 #include "model/ids.h"
 #include "tool/burn_objective.h"
+#include "tool/burn_source.h"
 #include "tool/metrics_snapshot.h"
 
 namespace jackdawrack {
 
-/// Counts of one customer's queries over some time.
+/// Counts of one customer's, or one route's, requests over some time.
 struct BurnCounts {
   std::uint64_t m_queries = 0;
   /// Slower than the objective, or so near that the bucket cannot tell.
@@ -21,8 +22,10 @@
   /// What spends the budgets, or costs the upstreams more, by name.
   std::map<std::string, std::uint64_t> m_causes;
 
-  /// Reads the counts of a customer since the instance started.
-  static BurnCounts Read(const MetricsSnapshot& metrics,
+  /// Reads the counts of a customer since the instance started; of the route
+  /// of that name where the source is of routes.
+  static BurnCounts Read(const BurnSource& source,
+                         const MetricsSnapshot& metrics,
                          const Customer& customer,
                          const BurnObjective& objective);
 
--- a/packages/tool/include/tool/burn_tracker.h
+++ b/packages/tool/include/tool/burn_tracker.h
@@ -34,6 +34,10 @@
     std::map<std::string, BurnCounts> m_last;
   };
 
+  void AddCounts(const std::string& at,
+                 bool was_read,
+                 const Customer& customer,
+                 const BurnCounts& counts);
   [[nodiscard]] CustomerBurn BurnOf(const Customer& customer,
                                     const History& history) const;
 
--- a/packages/tool/src/burn_counts.cpp
+++ b/packages/tool/src/burn_counts.cpp
@@ -42,19 +42,19 @@
 
 }  // namespace
 
-BurnCounts BurnCounts::Read(const MetricsSnapshot& metrics,
+BurnCounts BurnCounts::Read(const BurnSource& source,
+                            const MetricsSnapshot& metrics,
                             const Customer& customer,
                             const BurnObjective& objective) {
-  const MetricLabels labels{{"customer", customer.Text()}};
+  const MetricLabels labels{{source.m_label, customer.Text()}};
+  const std::string latency = source.m_latency;
   BurnCounts counts;
-  counts.m_queries = ToCount(metrics.Sum("jackdawrack_query_ms_count", labels));
-  const std::uint64_t fast = ToCount(metrics.CountUpTo(
-      "jackdawrack_query_ms", labels, objective.m_latency_ms));
+  counts.m_queries = ToCount(metrics.Sum(latency + "_count", labels));
+  const std::uint64_t fast =
+      ToCount(metrics.CountUpTo(latency, labels, objective.m_latency_ms));
   counts.m_slow = counts.m_queries - std::min(fast, counts.m_queries);
-  counts.m_partial =
-      ToCount(metrics.Sum("jackdawrack_partial_queries", labels));
-  counts.m_insufficient =
-      ToCount(metrics.Sum("jackdawrack_insufficient_queries", labels));
+  counts.m_partial = ToCount(metrics.Sum(source.m_partial, labels));
+  counts.m_insufficient = ToCount(metrics.Sum(source.m_insufficient, labels));
 
   // What spent the budgets
   auto& causes = counts.m_causes;
@@ -64,6 +64,9 @@
               "refused: ", labels, causes);
   ReadByLabel(metrics, "jackdawrack_requests", "outcome", "request: ", labels,
               causes);
+  ReadByLabel(metrics, "jackdawrack_requests_total", "status",
+              "status: ", labels, causes);
+  causes.erase("status: 200");
   ReadPlain(metrics, "jackdawrack_query_retries", "retries", labels, causes);
   ReadPlain(metrics, "jackdawrack_query_restarts", "version restarts", labels,
             causes);
--- a/packages/tool/src/burn_tracker.cpp
+++ b/packages/tool/src/burn_tracker.cpp
@@ -38,27 +38,36 @@
 void BurnTracker::Add(const std::string& at, const MetricsSnapshot& metrics) {
   JR_CHECK(m_samples > 0);
   const bool was_read = std::exchange(m_instances[at], true);
-  for (const std::string& name :
-       metrics.LabelValues("jackdawrack_queries", "customer")) {
-    const Customer customer(name);
-    History& history = m_customers[customer];
-    history.m_added.resize(m_samples - 1);
-    const BurnCounts counts =
-        BurnCounts::Read(metrics, customer, m_objectives.For(customer));
-
-    // What an instance had before its first sample is not of this run
-    const auto last = history.m_last.find(at);
-    if (!was_read) {
-      history.m_before.Add(counts);
-    } else if (last != history.m_last.end()) {
-      history.m_added.back().Add(counts.Since(last->second));
-    } else {
-      history.m_added.back().Add(counts);
+  for (const BurnSource& source : {kContractBurn, kRouteBurn}) {
+    const std::string count = std::string(source.m_latency) + "_count";
+    for (const std::string& name : metrics.LabelValues(count, source.m_label)) {
+      const Customer customer(name);
+      AddCounts(at, was_read, customer,
+                BurnCounts::Read(source, metrics, customer,
+                                 m_objectives.For(customer)));
     }
-    history.m_last[at] = counts;
   }
 }
 
+void BurnTracker::AddCounts(const std::string& at,
+                            bool was_read,
+                            const Customer& customer,
+                            const BurnCounts& counts) {
+  History& history = m_customers[customer];
+  history.m_added.resize(m_samples - 1);
+
+  // What an instance had before its first sample is not of this run
+  const auto last = history.m_last.find(at);
+  if (!was_read) {
+    history.m_before.Add(counts);
+  } else if (last != history.m_last.end()) {
+    history.m_added.back().Add(counts.Since(last->second));
+  } else {
+    history.m_added.back().Add(counts);
+  }
+  history.m_last[at] = counts;
+}
+
 void BurnTracker::NotRead(const std::string& at, const std::string& problem) {
   m_instances.emplace(at, false);
   m_unread.push_back(UnreadInstance{at, m_samples, problem});
--- a/packages/tool/src/explain_command.cpp
+++ b/packages/tool/src/explain_command.cpp
@@ -48,6 +48,13 @@
   return fmt::format("{} ranges", count);
 }
 
+// True if the id stands for itself in the path of a URL.
+bool IsPathSafe(const std::string& request) {
+  return std::all_of(request.begin(), request.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
 void PrintTrace(const std::string& at, const json::object& trace) {
   fmt::print("request {} taken at {}: customer {}, kind {}, outcome {}\n",
              JsonText(trace, "request"), at, JsonText(trace, "customer"),
@@ -114,9 +121,10 @@
 }
 
 ExitCode ExplainCommand::ExplainFromInstances() {
-  if (m_at.empty() || !RequestId::Parse(m_request)) {
+  if (m_at.empty() || !IsPathSafe(m_request)) {
     fmt::print(stderr,
-               "accepted is HEX-HEX with --at, or a request id with --log\n");
+               "accepted is a request id of letters, digits, '-', '_' and '.' "
+               "with --at, or any with --log\n");
     return ExitCode::kBadUse;
   }
   std::vector<InstanceReading> readings =
--- a/packages/tool/src/status_command.cpp
+++ b/packages/tool/src/status_command.cpp
@@ -61,6 +61,9 @@
 
 std::size_t CountInstances(const json::object& status) {
   const json::value* list = status.if_contains("instances");
+  if (list == nullptr) {
+    return JsonNumber(status, "known_instances");
+  }
   return list != nullptr && list->is_array() ? list->as_array().size() : 0;
 }
 
