Take changed settings while the instance runs

SIGHUP and silent changes of the file were checked and logged only. Now seeds, the bound on repeats, the grace time and the log's bounds are in force at once; listeners, store and identity wait for the next start, and event 1008 names those that differ. The test with a real instance needs the new bound: with the old one its second request is repeated elsewhere and answered 200.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -311,7 +311,7 @@
     });
   }
 
-  // Checks the settings file; what is in force stays on any problem.
+  // Takes the settings file; what is in force stays on any problem.
   void ReloadSettings() {
     std::ifstream stream(m_settings_path);
     std::ostringstream text;
@@ -325,7 +325,21 @@
                JoinProblems(problems));
       return;
     }
-    LogEvent(EventId::kSettingsReloaded, "changed={}", settings != m_settings);
+    TakeSettings(settings);
+  }
+
+  void TakeSettings(const GatewayFileSettings& settings) {
+    const bool has_changed = settings != m_settings;
+    m_settings.TakeReloadable(settings);
+    m_exchange.SetSeeds(m_settings.m_seeds);
+    m_gateway.SetRepeatBound(m_settings.m_retry_budget.m_ratio,
+                             m_settings.m_retry_budget.m_slack);
+    m_gateway.SetLogSample(m_settings.m_log_sample);
+    ConfigureEventOutput(
+        {.m_is_buffered = true,
+         .m_max_lines_per_second = m_settings.m_log_lines_per_second});
+    LogEvent(EventId::kSettingsReloaded, "changed={} at_next_start=\"{}\"",
+             has_changed, fmt::join(m_settings.KeysForRestart(settings), ", "));
   }
 
   void ScheduleHousekeeping() {
@@ -378,7 +392,7 @@
     });
   }
 
-  const GatewayFileSettings m_settings;
+  GatewayFileSettings m_settings;
   const std::string m_settings_path;
   FileMark m_settings_mark;
   boost::asio::io_context m_context;
--- a/packages/exchange/include/exchange/peer_exchange.h
+++ b/packages/exchange/include/exchange/peer_exchange.h
@@ -51,6 +51,9 @@
   /// Listens and begins to exchange; the error names the address.
   NetResult<void> Start();
 
+  /// Takes other peers to begin with.
+  void SetSeeds(std::vector<Endpoint> seeds);
+
   /// Tells peers from now on that this instance leaves.
   void Leave();
 
--- a/packages/exchange/include/exchange/peer_table.h
+++ b/packages/exchange/include/exchange/peer_table.h
@@ -32,6 +32,9 @@
 
   PeerTable(PeerEntry self, std::vector<Endpoint> seeds);
 
+  /// Takes other seeds; this instance is left out of them.
+  void SetSeeds(std::vector<Endpoint> seeds);
+
   /// Counts up this instance's own beat.
   void Beat() { ++m_self.m_beat; }
 
--- a/packages/exchange/src/peer_exchange.cpp
+++ b/packages/exchange/src/peer_exchange.cpp
@@ -56,6 +56,10 @@
     return started;
   }
 
+  void SetSeeds(std::vector<Endpoint> seeds) {
+    m_table.SetSeeds(std::move(seeds));
+  }
+
   void Leave() {
     m_table.Leave();
     Exchange();
@@ -188,6 +192,10 @@
   return m_impl->Start();
 }
 
+void PeerExchange::SetSeeds(std::vector<Endpoint> seeds) {
+  m_impl->SetSeeds(std::move(seeds));
+}
+
 void PeerExchange::Leave() {
   m_impl->Leave();
 }
--- a/packages/exchange/src/peer_table.cpp
+++ b/packages/exchange/src/peer_table.cpp
@@ -14,7 +14,12 @@
 }  // namespace
 
 PeerTable::PeerTable(PeerEntry self, std::vector<Endpoint> seeds)
-    : m_self(std::move(self)), m_seeds(std::move(seeds)) {
+    : m_self(std::move(self)) {
+  SetSeeds(std::move(seeds));
+}
+
+void PeerTable::SetSeeds(std::vector<Endpoint> seeds) {
+  m_seeds = std::move(seeds);
   std::erase(m_seeds, m_self.m_endpoint);
 }
 
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -40,6 +40,12 @@
   /// Takes how many instances there are, by failure domain.
   void SetFleet(std::map<FailureDomain, std::size_t> instances);
 
+  /// Takes another bound on repeats to a service.
+  void SetRepeatBound(double ratio, double slack);
+
+  /// Logs one in so many complete successes from now on, 1 at least.
+  void SetLogSample(std::uint64_t one_in);
+
   /// Answers on with "Connection: close"; connections go on being accepted.
   void EndConnections();
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -56,7 +56,7 @@
     });
   }
 
-  const GatewaySettings m_settings;
+  GatewaySettings m_settings;
   const PublishedState& m_state;
   ReplicaSet m_replicas;
   HedgeDelays m_hedge_delays;
@@ -93,6 +93,14 @@
   m_impl->m_replicas.SetFleet(std::move(instances));
 }
 
+void Gateway::SetRepeatBound(double ratio, double slack) {
+  m_impl->m_replicas.SetRepeatBound(ratio, slack);
+}
+
+void Gateway::SetLogSample(std::uint64_t one_in) {
+  m_impl->m_settings.m_log_sample = one_in;
+}
+
 void Gateway::EndConnections() {
   m_impl->m_router.EndConnections();
 }
--- a/packages/gateway/src/replica_set.cpp
+++ b/packages/gateway/src/replica_set.cpp
@@ -190,6 +190,14 @@
   SetShares();
 }
 
+void ReplicaSet::SetRepeatBound(double ratio, double slack) {
+  m_settings.m_retry_budget.m_ratio = ratio;
+  m_settings.m_retry_budget.m_slack = slack;
+  for (const auto& [service, group] : m_groups) {
+    group->Budget().SetBound(ratio, slack);
+  }
+}
+
 std::size_t ReplicaSet::FleetSizeTotal() const {
   return FleetAround(m_settings.m_domain).Total();
 }
--- a/packages/gateway/src/replica_set.h
+++ b/packages/gateway/src/replica_set.h
@@ -89,6 +89,9 @@
   /// Takes how many instances there are, by failure domain.
   void SetFleet(std::map<FailureDomain, std::size_t> instances);
 
+  /// Takes another bound on repeats.
+  void SetRepeatBound(double ratio, double slack);
+
   /// The group of a service; an empty one if nothing is published of it.
   [[nodiscard]] ReplicaGroup& Group(const ServiceName& service);
 
@@ -114,7 +117,7 @@
   [[nodiscard]] FleetSize FleetAround(const FailureDomain& domain) const;
 
   boost::asio::io_context& m_context;
-  const GatewaySettings m_settings;
+  GatewaySettings m_settings;
   /// Until then this process draws on no slack and holds few connections
   /// elsewhere: upstreams may still count those of its predecessor, which may
   /// have used the slack, and it may not know all who share them.
--- a/packages/routing/include/routing/gateway_file_settings.h
+++ b/packages/routing/include/routing/gateway_file_settings.h
@@ -48,6 +48,14 @@
   static GatewayFileSettings Parse(const std::string& file,
                                    const std::string& text,
                                    std::vector<IniProblem>& problems);
+
+  /// Takes what may change while the instance runs: seeds, the budget's ratio
+  /// and slack, the grace time and how much is logged.
+  void TakeReloadable(const GatewayFileSettings& next);
+
+  /// Keys that differ in `next` and are not reloadable, as "[section] key".
+  [[nodiscard]] std::vector<std::string> KeysForRestart(
+      const GatewayFileSettings& next) const;
 };
 
 }  // namespace jackdawrack
--- a/packages/routing/include/routing/retry_budget.h
+++ b/packages/routing/include/routing/retry_budget.h
@@ -41,6 +41,9 @@
   RetryBudget(const RetryBudgetSettings& settings, TimePoint slack_from)
       : m_settings(settings), m_slack_from(slack_from) {}
 
+  /// Takes another ratio and slack; the window stays.
+  void SetBound(double ratio, double slack);
+
   /// Counts a request for the service; `TimePoint`s never go back.
   void RecordRequest(TimePoint now);
 
--- a/packages/routing/src/gateway_file_settings.cpp
+++ b/packages/routing/src/gateway_file_settings.cpp
@@ -97,4 +97,35 @@
   return settings;
 }
 
+void GatewayFileSettings::TakeReloadable(const GatewayFileSettings& next) {
+  m_seeds = next.m_seeds;
+  m_retry_budget.m_ratio = next.m_retry_budget.m_ratio;
+  m_retry_budget.m_slack = next.m_retry_budget.m_slack;
+  m_grace = next.m_grace;
+  m_log_sample = next.m_log_sample;
+  m_log_lines_per_second = next.m_log_lines_per_second;
+}
+
+std::vector<std::string> GatewayFileSettings::KeysForRestart(
+    const GatewayFileSettings& next) const {
+  std::vector<std::string> keys;
+  const auto compare = [&keys](const char* key, const auto& now,
+                               const auto& then) {
+    if (!(now == then)) {
+      keys.emplace_back(key);
+    }
+  };
+  compare("[gateway] instance", m_id, next.m_id);
+  compare("[gateway] failure_domain", m_domain, next.m_domain);
+  compare("[listen] callers", m_callers, next.m_callers);
+  compare("[listen] readiness", m_readiness, next.m_readiness);
+  compare("[listen] peers", m_peers, next.m_peers);
+  compare("[listen] operators", m_operators, next.m_operators);
+  compare("[store] address", m_store, next.m_store);
+  compare("[bounds] repeat_window_s", m_retry_budget.m_window,
+          next.m_retry_budget.m_window);
+  compare("[bounds] stable_ms", m_stable_time, next.m_stable_time);
+  return keys;
+}
+
 }  // namespace jackdawrack
--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -18,6 +18,11 @@
   return slice;
 }
 
+void RetryBudget::SetBound(double ratio, double slack) {
+  m_settings.m_ratio = ratio;
+  m_settings.m_slack = slack;
+}
+
 void RetryBudget::RecordRequest(TimePoint now) {
   ++SliceAt(now).m_requests;
 }
--- a/packages/testing/tests/gateway_state_test.cpp
+++ b/packages/testing/tests/gateway_state_test.cpp
@@ -201,6 +201,36 @@
   }
 }
 
+TEST_CASE("changed settings are in force at once where they can be") {
+  GatewayFleet fleet({.m_name = "gw-reload"});
+  fleet.Start();
+  RawCaller caller(fleet.CallerPort());
+  REQUIRE(StatusOf(caller.Call("GET", "/one/x", "first")) == 200);
+
+  // No repeats from now on, every request logged, and another store later
+  std::ifstream old_file(fleet.SettingsPath(0));
+  std::string text(std::istreambuf_iterator<char>(old_file), {});
+  for (const auto& [from, to] : {std::pair<std::string, std::string>{
+                                     "repeat_ratio = 0.2", "repeat_ratio = 0"},
+                                 {"repeat_slack = 58", "repeat_slack = 0"},
+                                 {"stable_ms = 2000", "stable_ms = 3000"}}) {
+    text.replace(text.find(from), from.size(), to);
+  }
+  std::ofstream(fleet.SettingsPath(0)) << text << "[log]\nsample_one_in = 1\n";
+  fleet.Process(0).Signal(SIGHUP);
+  REQUIRE(Within(Milliseconds(1'000), [&] {
+    return fleet.LogText(0).find(
+               "1008 SettingsReloaded changed=true "
+               "at_next_start=\"[bounds] stable_ms\"") != std::string::npos;
+  }));
+  fleet.Replica("single", "east").SetMode(ReplicaMode::kRefuse, 1);
+  REQUIRE(StatusOf(caller.Call("GET", "/one/x", "second")) == 503);
+  REQUIRE(StatusOf(caller.Call("GET", "/one/x", "third")) == 200);
+  REQUIRE(Within(Milliseconds(1'000), [&] {
+    return fleet.LogText(0).find("request=third") != std::string::npos;
+  }));
+}
+
 TEST_CASE("changed settings are read again; bad ones change nothing") {
   GatewayFleet fleet({.m_name = "gw-hup"});
   fleet.Start();
