Ask a lost store with a short watch, so that its return is known at once

While it is lost the watch now waits 100 ms at the store. The test fails on the code before by its signature only (the wait was not told apart).

--- a/packages/gateway/include/gateway/feed_reader.h
+++ b/packages/gateway/include/gateway/feed_reader.h
@@ -13,8 +13,11 @@
 
 /// How often the store is asked.
 struct FeedSettings {
-  /// Longest wait of one watch; a silent store is noticed after it.
+  /// Longest wait of one watch: an answer that was lost on a connection that
+  /// lives is noticed only after it.
   Milliseconds m_watch_time{4'000};
+  /// The same while the store is lost: its first answer tells that it is back.
+  Milliseconds m_lost_watch_time{100};
   /// Pause after changes, so that those that come together cost one call.
   Milliseconds m_pause{400};
   /// Pause after the first failed call; doubled up to the longest.
@@ -71,7 +74,10 @@
     if (m_is_listing) {
       m_source.List(std::move(handler));
     } else {
-      m_source.Watch(m_revision, m_settings.m_watch_time, std::move(handler));
+      m_source.Watch(
+          m_revision,
+          m_is_lost ? m_settings.m_lost_watch_time : m_settings.m_watch_time,
+          std::move(handler));
     }
   }
 
--- a/packages/gateway/tests/feed_reader_test.cpp
+++ b/packages/gateway/tests/feed_reader_test.cpp
@@ -6,6 +6,9 @@
 namespace jackdawrack {
 namespace {
 
+constexpr Milliseconds kWatchTime{1'000};
+constexpr Milliseconds kLostWatchTime{10};
+
 /// A store whose calls the test answers one by one.
 class FakeStore final {
  public:
@@ -16,8 +19,9 @@
     m_handler = std::move(handler);
   }
 
-  void Watch(std::uint64_t revision, Milliseconds, Handler handler) {
+  void Watch(std::uint64_t revision, Milliseconds wait, Handler handler) {
     m_watched_from = revision;
+    m_watched_for = wait;
     m_handler = std::move(handler);
   }
 
@@ -31,6 +35,7 @@
 
   int m_listings = 0;
   std::optional<std::uint64_t> m_watched_from;
+  Milliseconds m_watched_for{0};
 
  private:
   Handler m_handler;
@@ -55,7 +60,7 @@
       : m_reader(m_context,
                  m_store,
                  m_state,
-                 FeedSettings{Milliseconds(1'000), Milliseconds(1),
+                 FeedSettings{kWatchTime, kLostWatchTime, Milliseconds(1),
                               Milliseconds(1), Milliseconds(2)}) {
     m_reader.Start();
   }
@@ -105,6 +110,22 @@
   REQUIRE(reading.m_state.Directory().Size() == 0);
 }
 
+TEST_CASE("a store that was lost is soon known to be back") {
+  Reading reading;
+  reading.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_store.m_watched_for == kWatchTime);
+  reading.Answer(MakeError(StoreErrc::kUnreachable, "timed out"));
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_store.m_watched_for == kLostWatchTime);
+
+  // Back, it is watched for long again
+  reading.Answer(MakeChanges({}, 10));
+  REQUIRE_FALSE(reading.m_reader.IsLost());
+  reading.RunUntilAsked();
+  REQUIRE(reading.m_store.m_watched_for == kWatchTime);
+}
+
 TEST_CASE("history that is gone leads to a listing") {
   Reading reading;
   reading.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
