Let the replica stand-in have slots, a queue, pauses and early answers

Tests with real instances: full replicas are not flooded, a pause of one replica does not reach the caller, an answer before the body is read leaves no bytes to others. The body of the last one fits the buffers of loopback.

--- a/packages/standin/include/standin/replica_standin.h
+++ b/packages/standin/include/standin/replica_standin.h
@@ -30,6 +30,8 @@
   kForeign,
   /// Answers without a length and closes.
   kUnframed,
+  /// Refuses as soon as the head is there, and reads the body after that.
+  kEarly,
   /// 421: another upstream has the address.
   kMisdirected,
 };
@@ -46,6 +48,17 @@
   friend bool operator==(const SeenRequest&, const SeenRequest&) = default;
 };
 
+/// How much a replica stand-in takes at once.
+struct ReplicaCapacity {
+  /// Requests that run at once; 0 for any number.
+  std::size_t m_slots = 0;
+  /// Requests that wait for a slot; further ones are refused.
+  std::size_t m_queue = 0;
+
+  friend bool operator==(const ReplicaCapacity&,
+                         const ReplicaCapacity&) = default;
+};
+
 /// How a replica stand-in behaves.
 struct ReplicaStandinSettings {
   std::string m_id;
@@ -74,6 +87,13 @@
   /// Time that each request takes from now on.
   void SetServiceTime(Milliseconds time);
 
+  /// Bounds what runs and waits from now on.
+  void SetCapacity(const ReplicaCapacity& capacity);
+
+  /// Answers nothing for this time; what arrives or runs meanwhile goes on
+  /// then.
+  void Pause(Milliseconds time);
+
   /// Closes the listener and all connections.
   void Stop();
 
--- a/packages/standin/src/replica_standin.cpp
+++ b/packages/standin/src/replica_standin.cpp
@@ -19,6 +19,8 @@
 #include <mutex>
 #include <set>
 
+#include "slot_queue.h"
+
 namespace jackdawrack {
 namespace {
 
@@ -50,7 +52,8 @@
       : m_settings(std::move(settings)),
         m_service_ms(m_settings.m_service_time.count()),
         m_strand(asio::make_strand(context)),
-        m_acceptor(m_strand) {}
+        m_acceptor(m_strand),
+        m_slots(m_strand) {}
 
   bool Start() {
     boost::system::error_code error;
@@ -78,6 +81,18 @@
 
   void SetServiceTime(Milliseconds time) { m_service_ms = time.count(); }
 
+  void SetCapacity(const ReplicaCapacity& capacity) {
+    asio::post(m_strand, [self = shared_from_this(), capacity] {
+      self->m_slots.SetCapacity(capacity);
+    });
+  }
+
+  void Pause(Milliseconds time) {
+    asio::post(m_strand, [self = shared_from_this(), time] {
+      self->m_paused_until = SteadyClock().Now() + time;
+    });
+  }
+
   void Stop() {
     asio::post(m_strand, [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -113,13 +128,23 @@
     boost::beast::flat_buffer buffer;
     bool is_open = true;
     while (is_open) {
-      Message message;
+      http::request_parser<http::string_body> parser;
+      const auto [head_error, head_size] =
+          co_await http::async_read_header(socket, buffer, parser, kTuple);
+      if (head_error) {
+        break;
+      }
+      const ReplicaMode mode = self->TakeMode();
+      if (mode == ReplicaMode::kEarly) {
+        co_await self->AnswerEarly(socket, parser.get());
+      }
       const auto [error, size] =
-          co_await http::async_read(socket, buffer, message, kTuple);
+          co_await http::async_read(socket, buffer, parser, kTuple);
       if (error) {
         break;
       }
-      is_open = co_await self->Handle(socket, message);
+      is_open = mode == ReplicaMode::kEarly ||
+                co_await self->Handle(socket, parser.get(), mode);
     }
     self->m_sockets.erase(&socket);
   }
@@ -147,15 +172,32 @@
     m_seen.push_back(std::move(seen));
   }
 
+  // Takes the service time on a slot, and as long as the replica pauses.
+  asio::awaitable<void> Work() {
+    asio::steady_timer work(m_strand, Milliseconds(m_service_ms));
+    co_await work.async_wait(kTuple);
+    while (SteadyClock().Now() < m_paused_until) {
+      work.expires_at(m_paused_until);
+      co_await work.async_wait(kTuple);
+    }
+    m_slots.Release();
+  }
+
   // Serves one request; false if the connection ends with it.
-  asio::awaitable<bool> Handle(Socket& socket, const Message& message) {
-    ReplicaMode mode = TakeMode();
+  asio::awaitable<bool> Handle(Socket& socket,
+                               const Message& message,
+                               ReplicaMode mode) {
     if (Field(message, "X-Expect-Instance") != m_settings.m_id) {
       mode = ReplicaMode::kMisdirected;
     }
+    const bool has_slot = co_await m_slots.Take();
+    if (!has_slot) {
+      mode = ReplicaMode::kRefuse;
+    }
     Note(message, mode);
-    asio::steady_timer work(m_strand, Milliseconds(m_service_ms));
-    co_await work.async_wait(kTuple);
+    if (has_slot) {
+      co_await Work();
+    }
     if (mode == ReplicaMode::kHang) {
       co_await WaitForClose(socket);
       co_return false;
@@ -174,6 +216,12 @@
         mode != ReplicaMode::kUnframed;
   }
 
+  asio::awaitable<void> AnswerEarly(Socket& socket, const Message& message) {
+    Note(message, ReplicaMode::kRefuse);
+    const std::string answer = AnswerFor(message, ReplicaMode::kRefuse);
+    co_await asio::async_write(socket, asio::buffer(answer), kTuple);
+  }
+
   asio::awaitable<void> WaitForClose(Socket& socket) {
     co_await socket.async_wait(Socket::wait_read, kTuple);
     ++m_cancelled;
@@ -215,6 +263,8 @@
   std::atomic<Milliseconds::rep> m_service_ms;
   asio::strand<asio::io_context::executor_type> m_strand;
   asio::ip::tcp::acceptor m_acceptor;
+  SlotQueue m_slots;
+  TimePoint m_paused_until{};
   std::set<Socket*> m_sockets;
   mutable std::mutex m_mutex;
   ReplicaMode m_mode = ReplicaMode::kAnswer;
@@ -241,6 +291,14 @@
   m_impl->SetServiceTime(time);
 }
 
+void ReplicaStandin::SetCapacity(const ReplicaCapacity& capacity) {
+  m_impl->SetCapacity(capacity);
+}
+
+void ReplicaStandin::Pause(Milliseconds time) {
+  m_impl->Pause(time);
+}
+
 void ReplicaStandin::Stop() {
   m_impl->Stop();
 }
--- a/packages/testing/tests/gateway_answers_test.cpp
+++ b/packages/testing/tests/gateway_answers_test.cpp
@@ -157,5 +157,30 @@
   }
 }
 
+TEST_CASE("an answer before the body is read leaves no bytes to others") {
+  const std::string long_body(60'000, 'b');
+  GatewayFleet fleet({.m_name = "gw-early"});
+  fleet.Start();
+  fleet.Replica("single", "east").SetMode(ReplicaMode::kEarly, 3);
+  RawCaller caller(fleet.CallerPort());
+  for (int call = 0; call < 6; ++call) {
+    const std::string id = "e" + std::to_string(call);
+    const auto reply = caller.Call("POST", "/book/x", id, long_body);
+    INFO(id);
+    REQUIRE(reply);
+    REQUIRE((reply->m_status == 200 || reply->m_status == 503));
+    REQUIRE(fleet.RunsOf(id) == (reply->m_status == 200 ? 1 : 0));
+  }
+
+  // Nothing arrived but the requests, with their bodies or refused before
+  for (const char* domain : {"east", "west"}) {
+    for (const SeenRequest& seen : fleet.Replica("single", domain).Seen()) {
+      REQUIRE(seen.m_target == "/book/x");
+      REQUIRE(seen.m_id.front() == 'e');
+      REQUIRE((!seen.m_has_run || seen.m_body == long_body));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/testing/tests/gateway_overload_test.cpp
+++ b/packages/testing/tests/gateway_overload_test.cpp
@@ -54,12 +54,8 @@
   return samples;
 }
 
-TEST_CASE("more callers than can be served: some in time, the others refused") {
-  GatewayFleet fleet({.m_name = "gw-overload"});
-  fleet.Start();
-  for (const char* domain : {"east", "west"}) {
-    fleet.Replica("single", domain).SetServiceTime(kServiceTime);
-  }
+// All callers' answered requests after the warm-up.
+std::vector<Sample> RunCallers(const GatewayFleet& fleet) {
   const TimePoint end = SteadyClock().Now() + kLength;
   std::mutex mutex;
   std::vector<Sample> samples;
@@ -74,8 +70,12 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
+  return samples;
+}
 
-  // What was served came in time; what was refused did not run
+// What was served came in time; what was refused did not run.
+void RequireServedInTimeOrRefused(const GatewayFleet& fleet,
+                                  const std::vector<Sample>& samples) {
   std::size_t served = 0;
   std::size_t in_target = 0;
   std::size_t refused = 0;
@@ -97,5 +97,52 @@
           kLeastInTarget * static_cast<double>(served));
 }
 
+TEST_CASE("more callers than can be served: some in time, the others refused") {
+  GatewayFleet fleet({.m_name = "gw-overload"});
+  fleet.Start();
+  for (const char* domain : {"east", "west"}) {
+    fleet.Replica("single", domain).SetServiceTime(kServiceTime);
+  }
+  RequireServedInTimeOrRefused(fleet, RunCallers(fleet));
+}
+
+TEST_CASE("replicas with few slots and short queues are not flooded") {
+  GatewayFleet fleet({.m_name = "gw-slots"});
+  fleet.Start();
+  for (const char* domain : {"east", "west"}) {
+    fleet.Replica("single", domain).SetServiceTime(Milliseconds(20));
+    fleet.Replica("single", domain).SetCapacity({.m_slots = 1, .m_queue = 1});
+  }
+  RequireServedInTimeOrRefused(fleet, RunCallers(fleet));
+
+  // Refusals of the replicas stay within the bound on repeats
+  std::size_t arrived = 0;
+  std::size_t refused = 0;
+  for (const char* domain : {"east", "west"}) {
+    for (const SeenRequest& seen : fleet.Replica("single", domain).Seen()) {
+      ++arrived;
+      refused += seen.m_has_run ? 0 : 1;
+    }
+  }
+  CAPTURE(arrived, refused);
+  REQUIRE(static_cast<double>(refused) <= 0.2 * static_cast<double>(arrived));
+}
+
+TEST_CASE("a pause of one replica does not reach the caller") {
+  GatewayFleet fleet({.m_name = "gw-pause"});
+  fleet.Start();
+  RawCaller caller(fleet.CallerPort());
+  for (int call = 0; call < 40; ++call) {
+    REQUIRE(caller.Call("GET", "/one/x", "w" + std::to_string(call)));
+  }
+  fleet.Replica("single", "east").Pause(Milliseconds(1'000));
+  const TimePoint began = SteadyClock().Now();
+  const auto reply = caller.Call("GET", "/one/x", "paused");
+  REQUIRE(reply);
+  REQUIRE(reply->m_status == 200);
+  REQUIRE(reply->Header("X-Server-Stamp") == "u-single-west.paused");
+  REQUIRE(SteadyClock().Now() - began < kTarget);
+}
+
 }  // namespace
 }  // namespace jackdawrack
