--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -1,7 +1,5 @@
 #include "daemon/gateway_daemon.h"
 
-#include <sys/stat.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,9 +10,11 @@
 #include "core/metrics.h"
 #include "core/process_usage.h"
 #include "exchange/peer_exchange.h"
+#include "file_mark.h"
 #include "gateway/feed_reader.h"
 #include "gateway/gateway.h"
 #include "gateway_operator_api.h"
+#include "gateway_part_settings.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 #include "platform/wire_names.h"
@@ -43,69 +43,6 @@
 constexpr unsigned kStatusNotReady = 503;
 constexpr unsigned kStatusNotFound = 404;
 
-WireHeaders PlatformHeaders() {
-  WireHeaders headers;
-  headers.m_request_id = platform::kRequestIdHeader;
-  headers.m_deadline = platform::kDeadlineHeader;
-  headers.m_expected_upstream = platform::kExpectedUpstreamHeader;
-  headers.m_signature = platform::kSignatureHeader;
-  headers.m_not_run = platform::kNotRunHeader;
-  headers.m_part_signatures = platform::kPartSignaturesHeader;
-  headers.m_missing_parts = platform::kMissingPartsHeader;
-  return headers;
-}
-
-GatewaySettings MakeGatewaySettings(const GatewayFileSettings& settings) {
-  GatewaySettings gateway;
-  gateway.m_instance = settings.m_id;
-  gateway.m_domain = settings.m_domain;
-  gateway.m_callers = settings.m_callers;
-  gateway.m_headers = PlatformHeaders();
-  gateway.m_retry_budget = settings.m_retry_budget;
-  gateway.m_log_sample = settings.m_log_sample;
-  return gateway;
-}
-
-FeedSettings MakeFeedSettings(const GatewayFileSettings& settings) {
-  FeedSettings feed;
-  feed.m_watch_time = std::max(Milliseconds(1'000),
-                               settings.m_stable_time - Milliseconds(1'000));
-  return feed;
-}
-
-PeerExchangeSettings MakeExchangeSettings(const GatewayFileSettings& settings) {
-  PeerExchangeSettings exchange;
-  exchange.m_self.m_id = settings.m_id;
-  exchange.m_self.m_domain = settings.m_domain;
-  exchange.m_self.m_endpoint = settings.m_peers;
-  exchange.m_self.m_epoch = static_cast<std::uint64_t>(BootClock().WallNowMs());
-  exchange.m_seeds = settings.m_seeds;
-  return exchange;
-}
-
-HttpServerSettings MakeServerSettings(const Endpoint& endpoint) {
-  HttpServerSettings server;
-  server.m_endpoint = endpoint;
-  return server;
-}
-
-// Size and time of change of a file; both zero if it cannot be read.
-struct FileMark {
-  std::int64_t m_changed_ns = 0;
-  std::int64_t m_size = 0;
-
-  static FileMark Of(const std::string& path) {
-    struct stat info {};
-    if (stat(path.c_str(), &info) != 0) {
-      return {};
-    }
-    return FileMark{info.st_mtim.tv_sec * 1'000'000'000 + info.st_mtim.tv_nsec,
-                    info.st_size};
-  }
-
-  friend bool operator==(const FileMark&, const FileMark&) = default;
-};
-
 }  // namespace
 
 class GatewayDaemon::Impl final {
--- /dev/null
+++ b/packages/daemon/src/gateway_part_settings.cpp
@@ -0,0 +1,58 @@
+#include "gateway_part_settings.h"
+
+#include <algorithm>
+
+#include "core/boot_clock.h"
+#include "platform/wire_names.h"
+
+namespace jackdawrack {
+namespace {
+
+WireHeaders PlatformHeaders() {
+  WireHeaders headers;
+  headers.m_request_id = platform::kRequestIdHeader;
+  headers.m_deadline = platform::kDeadlineHeader;
+  headers.m_expected_upstream = platform::kExpectedUpstreamHeader;
+  headers.m_signature = platform::kSignatureHeader;
+  headers.m_not_run = platform::kNotRunHeader;
+  headers.m_part_signatures = platform::kPartSignaturesHeader;
+  headers.m_missing_parts = platform::kMissingPartsHeader;
+  return headers;
+}
+
+}  // namespace
+
+GatewaySettings MakeGatewaySettings(const GatewayFileSettings& settings) {
+  GatewaySettings gateway;
+  gateway.m_domain = settings.m_domain;
+  gateway.m_callers = settings.m_callers;
+  gateway.m_headers = PlatformHeaders();
+  gateway.m_retry_budget = settings.m_retry_budget;
+  gateway.m_log_sample = settings.m_log_sample;
+  return gateway;
+}
+
+FeedSettings MakeFeedSettings(const GatewayFileSettings& settings) {
+  FeedSettings feed;
+  feed.m_watch_time = std::max(Milliseconds(1'000),
+                               settings.m_stable_time - Milliseconds(1'000));
+  return feed;
+}
+
+PeerExchangeSettings MakeExchangeSettings(const GatewayFileSettings& settings) {
+  PeerExchangeSettings exchange;
+  exchange.m_self.m_id = settings.m_id;
+  exchange.m_self.m_domain = settings.m_domain;
+  exchange.m_self.m_endpoint = settings.m_peers;
+  exchange.m_self.m_epoch = static_cast<std::uint64_t>(BootClock().WallNowMs());
+  exchange.m_seeds = settings.m_seeds;
+  return exchange;
+}
+
+HttpServerSettings MakeServerSettings(const Endpoint& endpoint) {
+  HttpServerSettings server;
+  server.m_endpoint = endpoint;
+  return server;
+}
+
+}  // namespace jackdawrack
--- a/packages/gateway/include/gateway/gateway_settings.h
+++ b/packages/gateway/include/gateway/gateway_settings.h
@@ -12,7 +12,6 @@
 
 /// What the gateway is built from.
 struct GatewaySettings {
-  InstanceId m_instance;
   FailureDomain m_domain;
   /// Listener for callers.
   Endpoint m_callers;
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -52,9 +52,6 @@
 
   [[nodiscard]] bool IsClosed() const { return !m_socket.is_open(); }
 
-  /// A request is being served or its answer written.
-  [[nodiscard]] bool IsServing() const { return m_state == State::kServing; }
-
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
