Hold a run while it is started: it may answer at once

Cause: a request whose shards have no replica left is answered while its run is being started. The session drops the run with the answer; it was the only holder, so that Start went on in freed memory and set a timer there. Ruled out by reading: the groups' waiters (a local list), the pools' ends (held by their handlers), the shares set under Follow.

Now the session holds the run while it starts it.

--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -119,11 +119,13 @@
   m_overdue_at = TimePoint::max();
   m_wants_keep_alive = m_parser->keep_alive();
   m_is_head_method = m_parser->get().method() == http::verb::head;
-  m_run = m_service.Serve(
+  const auto run = m_service.Serve(
       m_parser->release(), BootClock().Now(),
       [self](CallerAnswer answer) { self->OnAnswer(std::move(answer)); });
-  if (m_run != nullptr) {
-    m_run->Start();
+  m_run = run;
+  if (run != nullptr) {
+    // It may answer at once, which drops `m_run`
+    run->Start();
   }
   if (m_state == State::kServing && m_run != nullptr) {
     WatchForLeaving();
--- a/packages/gateway/src/request_run.h
+++ b/packages/gateway/src/request_run.h
@@ -16,7 +16,8 @@
 
   virtual ~RequestRun() = default;
 
-  /// Begins; the answer comes once, unless the caller leaves before.
+  /// Begins; the answer comes once, unless the caller leaves before. It may
+  /// come before `Start` returns, so that the caller of `Start` holds the run.
   virtual void Start() = 0;
 
   /// The caller has gone; upstreams are told to stop and nothing is answered.
