--- a/packages/testing/tests/gateway_state_test.cpp
+++ b/packages/testing/tests/gateway_state_test.cpp
@@ -114,6 +114,32 @@
   REQUIRE(fleet.Replica("single", "east").Seen().size() == before);
 }
 
+TEST_CASE("requests without any replica are refused, and it lives on") {
+  GatewayFleet fleet({.m_name = "gw-nobody"});
+  fleet.Start();
+  RawCaller caller(fleet.CallerPort());
+  REQUIRE(StatusOf(caller.Call("GET", "/q/x", "n0")) == 200);
+  for (const std::string& service :
+       {std::string("single"), std::string("shard-0"),
+        std::string("shard-1")}) {
+    for (const char* domain : {"east", "west"}) {
+      fleet.Store().Remove("servers/" +
+                           GatewayFleet::ReplicaId(service, domain));
+    }
+  }
+  std::this_thread::sleep_for(Milliseconds(1'000));
+  for (int call = 0; call < 200; ++call) {
+    const std::string id = "n" + std::to_string(call + 1);
+    REQUIRE(StatusOf(caller.Call("POST", "/book/x", id + "b", "body")) == 503);
+    const auto query = StatusOf(caller.Call("GET", "/q/x", id + "q"));
+    REQUIRE((query == 502 || query == 503));
+  }
+  fleet.PublishReplica("single", "east", "ready");
+  REQUIRE(Within(Milliseconds(2'000), [&] {
+    return StatusOf(caller.Call("GET", "/one/x", "back")) == 200;
+  }));
+}
+
 TEST_CASE("records of another writer leave the others in use") {
   GatewayFleet fleet({.m_name = "gw-forged"});
   fleet.Start();
