Give each type its own name: two were called RequestRun, and two ReplicaSet

Finding, by a trial with AddressSanitizer: the gateway's RequestRun and the entry's are one name in one namespace, and the linker keeps one destructor for both. With optimisation the destructor is inlined; whether the shipped build was ever hit is not shown. ReplicaSet was a class and an alias.

--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <optional>
 
-#include "request_run.h"
+#include "routed_run.h"
 #include "routing/routing_config.h"
 
 namespace jackdawrack {
@@ -25,10 +25,9 @@
   [[nodiscard]] virtual bool KeepsConnections() const = 0;
 
   /// Begins to serve a request; the run may be null if `answer` was called.
-  virtual std::shared_ptr<RequestRun> Serve(
-      CallerMessage message,
-      TimePoint arrived_at,
-      RequestRun::AnswerHandler answer) = 0;
+  virtual std::shared_ptr<RoutedRun> Serve(CallerMessage message,
+                                           TimePoint arrived_at,
+                                           RoutedRun::AnswerHandler answer) = 0;
 };
 
 /// One connection of a caller; requests are served one after the other.
@@ -75,7 +74,7 @@
   CallerService& m_service;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
-  std::shared_ptr<RequestRun> m_run;
+  std::shared_ptr<RoutedRun> m_run;
   State m_state = State::kIdle;
   TimePoint m_overdue_at = TimePoint::max();
   TimePoint m_idle_since{};
--- a/packages/gateway/src/request_trace.cpp
+++ b/packages/gateway/src/finished_trace.cpp
@@ -1,4 +1,4 @@
-#include "request_trace.h"
+#include "finished_trace.h"
 
 #include <fmt/format.h>
 
--- a/packages/gateway/src/forward_run.h
+++ b/packages/gateway/src/forward_run.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "request_run.h"
+#include "routed_run.h"
 
 namespace jackdawrack {
 
 /// Gives a request to one upstream of a service and its answer to the caller.
-class ForwardRun final : public RequestRun,
+class ForwardRun final : public RoutedRun,
                          public std::enable_shared_from_this<ForwardRun> {
  public:
   ForwardRun(const RunContext& context,
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -58,7 +58,7 @@
 
   GatewaySettings m_settings;
   const PublishedState& m_state;
-  ReplicaSet m_replicas;
+  ReplicaGroups m_replicas;
   HedgeDelays m_hedge_delays;
   RecentRequests m_recent;
   RequestRouter m_router;
--- a/packages/gateway/src/gather_run.h
+++ b/packages/gateway/src/gather_run.h
@@ -2,13 +2,13 @@
 
 #include <optional>
 
-#include "request_run.h"
+#include "routed_run.h"
 #include "routing/gather_progress.h"
 
 namespace jackdawrack {
 
 /// Asks one replica of every shard and merges their parts into one answer.
-class GatherRun final : public RequestRun,
+class GatherRun final : public RoutedRun,
                         public std::enable_shared_from_this<GatherRun> {
  public:
   GatherRun(const RunContext& context,
--- a/packages/gateway/src/recent_requests.h
+++ b/packages/gateway/src/recent_requests.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string_view>
 
-#include "request_trace.h"
+#include "finished_trace.h"
 
 namespace jackdawrack {
 
--- a/packages/gateway/src/replica_set.cpp
+++ b/packages/gateway/src/replica_groups.cpp
@@ -1,4 +1,4 @@
-#include "replica_set.h"
+#include "replica_groups.h"
 
 #include <algorithm>
 #include <set>
@@ -85,13 +85,13 @@
   m_queue.Note(!m_waiters.empty(), BootClock().Now());
 }
 
-ReplicaSet::ReplicaSet(boost::asio::io_context& context,
-                       GatewaySettings settings)
+ReplicaGroups::ReplicaGroups(boost::asio::io_context& context,
+                             GatewaySettings settings)
     : m_context(context),
       m_settings(std::move(settings)),
       m_settled_at(BootClock().Now() + m_settings.m_retry_budget.m_window) {}
 
-ReplicaGroup& ReplicaSet::Group(const ServiceName& service) {
+ReplicaGroup& ReplicaGroups::Group(const ServiceName& service) {
   auto& group = m_groups[service];
   if (group == nullptr) {
     group = std::make_unique<ReplicaGroup>(m_settings, m_settled_at);
@@ -99,7 +99,7 @@
   return *group;
 }
 
-void ReplicaSet::Follow(const PublishedState& state) {
+void ReplicaGroups::Follow(const PublishedState& state) {
   m_table = state.Table();
 
   // Retire what is no longer published
@@ -129,7 +129,7 @@
   }
 }
 
-void ReplicaSet::Place(const ReplicaRecord& record) {
+void ReplicaGroups::Place(const ReplicaRecord& record) {
   auto& pool = m_pools[record.m_id];
   if (pool != nullptr && !IsOtherProcess(pool->Record(), record)) {
     if (record.m_draining && !pool->Record().m_draining) {
@@ -159,7 +159,7 @@
   group.Pools().push_back(pool);
 }
 
-FleetSize ReplicaSet::FleetAround(const FailureDomain& domain) const {
+FleetSize ReplicaGroups::FleetAround(const FailureDomain& domain) const {
   if (m_instances.empty()) {
     return FleetSize{kAssumedHome, kAssumedRemote};
   }
@@ -170,7 +170,7 @@
   return size;
 }
 
-void ReplicaSet::SetShares() {
+void ReplicaGroups::SetShares() {
   if (m_table == nullptr) {
     return;
   }
@@ -185,12 +185,12 @@
   }
 }
 
-void ReplicaSet::SetFleet(std::map<FailureDomain, std::size_t> instances) {
+void ReplicaGroups::SetFleet(std::map<FailureDomain, std::size_t> instances) {
   m_instances = std::move(instances);
   SetShares();
 }
 
-void ReplicaSet::SetRepeatBound(double ratio, double slack) {
+void ReplicaGroups::SetRepeatBound(double ratio, double slack) {
   m_settings.m_retry_budget.m_ratio = ratio;
   m_settings.m_retry_budget.m_slack = slack;
   for (const auto& [service, group] : m_groups) {
@@ -198,11 +198,11 @@
   }
 }
 
-std::size_t ReplicaSet::FleetSizeTotal() const {
+std::size_t ReplicaGroups::FleetSizeTotal() const {
   return FleetAround(m_settings.m_domain).Total();
 }
 
-std::size_t ReplicaSet::ConnectionCount() const {
+std::size_t ReplicaGroups::ConnectionCount() const {
   std::size_t count = 0;
   for (const auto& [id, pool] : m_pools) {
     count += pool->ChannelCount();
@@ -210,7 +210,7 @@
   return count;
 }
 
-void ReplicaSet::CloseOverdue(TimePoint now) {
+void ReplicaGroups::CloseOverdue(TimePoint now) {
   if (!m_is_settled && now >= m_settled_at) {
     m_is_settled = true;
     SetShares();
--- a/packages/gateway/src/replica_set.h
+++ b/packages/gateway/src/replica_groups.h
@@ -79,9 +79,9 @@
 
 /// All replicas that this instance may send to, by service; follows the
 /// published state.
-class ReplicaSet final {
+class ReplicaGroups final {
  public:
-  ReplicaSet(boost::asio::io_context& context, GatewaySettings settings);
+  ReplicaGroups(boost::asio::io_context& context, GatewaySettings settings);
 
   /// Takes what is published now.
   void Follow(const PublishedState& state);
--- a/packages/gateway/src/replica_metrics.cpp
+++ b/packages/gateway/src/replica_metrics.cpp
@@ -41,7 +41,7 @@
 
 }  // namespace
 
-void WriteReplicaMetrics(ReplicaSet& replicas,
+void WriteReplicaMetrics(ReplicaGroups& replicas,
                          TimePoint now,
                          std::string& out) {
   const std::size_t fleet = replicas.FleetSizeTotal();
--- a/packages/gateway/src/replica_metrics.h
+++ b/packages/gateway/src/replica_metrics.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "replica_set.h"
+#include "replica_groups.h"
 
 namespace jackdawrack {
 
@@ -10,6 +10,8 @@
 /// budget of repeats of each service, in the Prometheus text format. Only
 /// upstreams that are published now are named, so that the text does not grow
 /// with those that were replaced.
-void WriteReplicaMetrics(ReplicaSet& replicas, TimePoint now, std::string& out);
+void WriteReplicaMetrics(ReplicaGroups& replicas,
+                         TimePoint now,
+                         std::string& out);
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -134,7 +134,7 @@
 
 void RequestRouter::RefuseBusy(const CallerCall& call,
                                const BusyRefusal& refusal,
-                               const RequestRun::AnswerHandler& answer) {
+                               const RoutedRun::AnswerHandler& answer) {
   CallerAnswer told = MakeNotRunAnswer(
       refusal.m_pause, "More requests wait than can be served in time.");
   LogEvent(EventId::kRequestRefusedBusy,
@@ -148,10 +148,10 @@
   answer(std::move(told));
 }
 
-std::shared_ptr<RequestRun> RequestRouter::Serve(
+std::shared_ptr<RoutedRun> RequestRouter::Serve(
     CallerMessage message,
     TimePoint arrived_at,
-    RequestRun::AnswerHandler answer) {
+    RoutedRun::AnswerHandler answer) {
   if (m_state.Table() == nullptr) {
     answer(MakeNotRunAnswer(kStartingRetryAfter,
                             "No configuration is known yet."));
--- a/packages/gateway/src/request_router.h
+++ b/packages/gateway/src/request_router.h
@@ -19,9 +19,9 @@
   [[nodiscard]] CallerLimits Limits() const override;
   [[nodiscard]] bool KeepsConnections() const override { return !m_is_ending; }
 
-  std::shared_ptr<RequestRun> Serve(CallerMessage message,
-                                    TimePoint arrived_at,
-                                    RequestRun::AnswerHandler answer) override;
+  std::shared_ptr<RoutedRun> Serve(CallerMessage message,
+                                   TimePoint arrived_at,
+                                   RoutedRun::AnswerHandler answer) override;
 
   /// From now on connections are closed after their next answer.
   void EndConnections() { m_is_ending = true; }
@@ -35,7 +35,7 @@
       const CallerCall& call);
   void RefuseBusy(const CallerCall& call,
                   const BusyRefusal& refusal,
-                  const RequestRun::AnswerHandler& answer);
+                  const RoutedRun::AnswerHandler& answer);
 
   RunContext m_context;
   const PublishedState& m_state;
--- a/packages/gateway/src/request_run.cpp
+++ b/packages/gateway/src/routed_run.cpp
@@ -1,4 +1,4 @@
-#include "request_run.h"
+#include "routed_run.h"
 
 #include <algorithm>
 
--- a/packages/gateway/src/request_run.h
+++ b/packages/gateway/src/routed_run.h
@@ -10,11 +10,11 @@
 namespace jackdawrack {
 
 /// One request of a caller on its way to an answer.
-class RequestRun {
+class RoutedRun {
  public:
   using AnswerHandler = std::function<void(CallerAnswer)>;
 
-  virtual ~RequestRun() = default;
+  virtual ~RoutedRun() = default;
 
   /// Begins; the answer comes once, unless the caller leaves before. It may
   /// come before `Start` returns, so that the caller of `Start` holds the run.
--- a/packages/gateway/src/run_context.h
+++ b/packages/gateway/src/run_context.h
@@ -5,7 +5,7 @@
 #include "core/metrics.h"
 #include "gateway/gateway_settings.h"
 #include "recent_requests.h"
-#include "replica_set.h"
+#include "replica_groups.h"
 #include "routing/hedge_delays.h"
 
 namespace jackdawrack {
@@ -14,7 +14,7 @@
 struct RunContext {
   boost::asio::io_context& m_io;
   const GatewaySettings& m_settings;
-  ReplicaSet& m_replicas;
+  ReplicaGroups& m_replicas;
   HedgeDelays& m_hedge_delays;
   MetricsRegistry& m_metrics;
   RecentRequests& m_recent;
--- a/packages/gateway/tests/caller_session_test.cpp
+++ b/packages/gateway/tests/caller_session_test.cpp
@@ -13,7 +13,7 @@
 
 /// A run that answers while it is started, and notes whether it was still
 /// there when it went on.
-class AnsweringRun final : public RequestRun {
+class AnsweringRun final : public RoutedRun {
  public:
   AnsweringRun(AnswerHandler answer, std::shared_ptr<bool> is_gone)
       : m_answer(std::move(answer)), m_is_gone(std::move(is_gone)) {}
@@ -43,9 +43,9 @@
   [[nodiscard]] CallerLimits Limits() const override { return {}; }
   [[nodiscard]] bool KeepsConnections() const override { return false; }
 
-  std::shared_ptr<RequestRun> Serve(CallerMessage,
-                                    TimePoint,
-                                    RequestRun::AnswerHandler answer) override {
+  std::shared_ptr<RoutedRun> Serve(CallerMessage,
+                                   TimePoint,
+                                   RoutedRun::AnswerHandler answer) override {
     return std::make_shared<AnsweringRun>(std::move(answer),
                                           std::make_shared<bool>(false));
   }
