--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -171,6 +171,7 @@
         self.revision = 100
         self.items = {}
         self.history = []
+        self.forgotten = self.revision
         self.changed = asyncio.Condition()
 
     async def put(self, key, value):
@@ -197,7 +198,7 @@
         return self.record.now()
 
     async def note(self, event):
-        self.history.append((time.monotonic(), event))
+        self.history.append((time.monotonic(), event, json.dumps(event)))
         async with self.changed:
             self.changed.notify_all()
 
@@ -228,17 +229,26 @@
         wait_s = min(int(query.get("waitMs", 0)), 30000) / 1000
         end = time.monotonic() + wait_s
         while True:
-            events = [event for _, event in self.history
+            self.forget()
+            if after < self.forgotten:
+                return self.json("410 Gone", {})
+            events = [text for _, event, text in self.history
                       if event["revision"] > after and event["key"].startswith(prefix)]
             left = end - time.monotonic()
             if events or left <= 0:
-                return self.json("200 OK", {"events": events, "asOf": self.revision})
+                body = f'{{"events":[{",".join(events)}],"asOf":{self.revision}}}'
+                return message("200 OK", {"Content-Type": "application/json"}, body.encode())
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(), left)
                 except TimeoutError:
                     pass
 
+    def forget(self):
+        """Drops the history that is older than the platform keeps."""
+        while self.history and time.monotonic() - self.history[0][0] > HISTORY_S:
+            self.forgotten = self.history.pop(0)[1]["revision"]
+
     @staticmethod
     def json(status, value):
         return message(status, {"Content-Type": "application/json"},
