--- a/review/standin/rig.py
+++ b/review/standin/rig.py
@@ -341,7 +341,15 @@
 
     @property
     def front(self):
-        return f"{self.ip}:8226"
+        return f"{self.ip}:{self.fleet.ports['front']}"
+
+    @property
+    def readiness(self):
+        return f"{self.ip}:{self.fleet.ports['readiness']}"
+
+    @property
+    def control(self):
+        return f"{self.ip}:{self.fleet.ports['control']}"
 
     def write_settings(self, store_address, bootstrap):
         values = {
@@ -349,8 +357,8 @@
             "seeds": self.fleet.seeds, "bootstrap": bootstrap,
             "zones": self.fleet.zones, "bounds": self.fleet.bounds,
             "platform": {"address": store_address},
-            "listen": {"front": self.front, "readiness": f"{self.ip}:8227",
-                       "control": f"{self.ip}:8224"},
+            "listen": {"front": self.front, "readiness": self.readiness,
+                       "control": self.control},
         }
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(render(self.fleet.template, values))
@@ -373,7 +381,7 @@
 
     async def ready(self):
         try:
-            answer = await request(f"{self.ip}:8227", "/v1/ready", wait_s=1)
+            answer = await request(self.readiness, "/v1/ready", wait_s=1)
             return answer.status == 200
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             return False
@@ -392,6 +400,8 @@
         self.record = record
         self.zones = zones
         self.bounds = dict(BOUNDS, **(bounds or {}))
+        self.ports = {name: Hosts.port("127.0.0.1")
+                      for name in ("front", "readiness", "control")}
         self.seeds = []
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.instances = []
@@ -399,7 +409,7 @@
     def add(self, name, zone, ip):
         instance = Instance(self, name, zone, ip)
         self.instances.append(instance)
-        self.seeds = [f"{each.ip}:8224" for each in self.instances[:3]]
+        self.seeds = [each.control for each in self.instances[:3]]
         return instance
 
     async def start(self, store_address, bootstrap=True):
