Refuse published records whose address is not that of a host

Cause: Endpoint::Parse accepted any text of hexadecimal digits, dots, colons and brackets, so that the decoder passed the record; the connection pool then called the throwing form of make_address. In a coroutine the exception was dropped with the request, elsewhere it ended the event loop.

Ruled out: the upstreams, which had free slots, and IPv6 as such, as "127.0.0.256:8080" does the same.

An endpoint is an IPv4 address and a port, checked by inet_pton. The pool gets the converted address. The HTTP client and the peer link no longer overwrite the error of an address.

--- a/packages/gateway/src/replica_connection_pool.cpp
+++ b/packages/gateway/src/replica_connection_pool.cpp
@@ -51,11 +51,13 @@
 ReplicaConnectionPool::ReplicaConnectionPool(
     boost::asio::io_context& context,
     ReplicaRecord record,
+    const boost::asio::ip::tcp::endpoint& address,
     ReplicaConnectionPoolSettings settings,
     const UpstreamResponseRules& response_rules,
     CapacityListener on_capacity)
     : m_context(context),
       m_record(std::move(record)),
+      m_address(address),
       m_settings(std::move(settings)),
       m_response_rules(response_rules),
       m_on_capacity(std::move(on_capacity)),
@@ -138,11 +140,7 @@
   }
 
   auto new_connection = std::make_shared<UpstreamConnection>(
-      m_context,
-      boost::asio::ip::tcp::endpoint(
-          boost::asio::ip::make_address(m_record.m_endpoint.m_address),
-          m_record.m_endpoint.m_port),
-      m_response_rules,
+      m_context, m_address, m_response_rules,
       m_settings.m_proximity == Proximity::kRemote ? kRemoteIdleTime
                                                    : kMaxIdleTime);
   m_connections.push_back(new_connection);
--- a/packages/gateway/src/replica_connection_pool.h
+++ b/packages/gateway/src/replica_connection_pool.h
@@ -54,10 +54,11 @@
   using Handler = UpstreamConnection::Handler;
   using CapacityListener = std::function<void()>;
 
-  /// `on_capacity` is called when a connection may have become free;
-  /// `response_rules` outlives the pool.
+  /// `address` is that of the record; `on_capacity` is called when a connection
+  /// may have become free; `response_rules` outlives the pool.
   ReplicaConnectionPool(boost::asio::io_context& context,
                         ReplicaRecord record,
+                        const boost::asio::ip::tcp::endpoint& address,
                         ReplicaConnectionPoolSettings settings,
                         const UpstreamResponseRules& response_rules,
                         CapacityListener on_capacity);
@@ -130,6 +131,7 @@
 
   boost::asio::io_context& m_context;
   ReplicaRecord m_record;
+  const boost::asio::ip::tcp::endpoint m_address;
   const ReplicaConnectionPoolSettings m_settings;
   const UpstreamResponseRules& m_response_rules;
   const CapacityListener m_on_capacity;
--- a/packages/gateway/src/replica_groups.cpp
+++ b/packages/gateway/src/replica_groups.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <set>
 
+#include "core/check.h"
 #include "core/event.h"
+#include "net/tcp_endpoint.h"
 #include "routing/replica_subset.h"
 
 namespace jackdawrack {
@@ -139,6 +141,9 @@
 }
 
 void ReplicaGroups::ApplyRecord(const ReplicaRecord& record) {
+  boost::system::error_code error;
+  const auto address = ToTcpEndpoint(record.m_endpoint, error);
+  JR_CHECK(!error);
   auto& pool = m_pools[record.m_id];
   if (pool != nullptr && !IsDifferentProcess(pool->Record(), record)) {
     if (record.m_draining && !pool->Record().m_draining) {
@@ -163,7 +168,7 @@
   settings.m_proximity = m_settings.ProximityOf(record.m_domain);
   ReplicaGroup& group = Group(record.m_service);
   pool = std::make_shared<ReplicaConnectionPool>(
-      m_context, record, std::move(settings), m_response_rules,
+      m_context, record, address, std::move(settings), m_response_rules,
       [&group] { group.WakeWaiters(); });
   group.Pools().push_back(pool);
 }
--- a/packages/gateway/tests/store_watcher_test.cpp
+++ b/packages/gateway/tests/store_watcher_test.cpp
@@ -43,6 +43,7 @@
 
 ReplicaRecord MakeRecord(const std::string& id, std::uint64_t sequence) {
   ReplicaRecord record;
+  record.m_endpoint = Endpoint{"10.0.0.9", 8080};
   record.m_id = UpstreamId(id);
   record.m_service = ServiceName("s");
   record.m_incarnation = Incarnation{1, sequence};
--- a/packages/model/include/model/endpoint.h
+++ b/packages/model/include/model/endpoint.h
@@ -9,7 +9,7 @@
 
 namespace jackdawrack {
 
-/// An IP address and a port.
+/// An IPv4 address and a port.
 struct Endpoint {
   std::string m_address;
   std::uint16_t m_port = 0;
@@ -17,6 +17,10 @@
   /// Parses "127.0.0.1:7000"; names are not looked up.
   static std::optional<Endpoint> Parse(const std::string& text);
 
+  /// True if it names one host and a port to connect to; false for a wildcard,
+  /// multicast or broadcast address and for an address that is not IPv4.
+  [[nodiscard]] bool IsConnectable() const;
+
   [[nodiscard]] std::string ToText() const;
 
   template <typename Archive>
--- a/packages/model/src/endpoint.cpp
+++ b/packages/model/src/endpoint.cpp
@@ -1,5 +1,6 @@
 #include "model/endpoint.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include <charconv>
@@ -7,10 +8,13 @@
 namespace jackdawrack {
 namespace {
 
-bool IsDottedAddress(const std::string& text) {
-  return !text.empty() &&
-         text.find_first_not_of("0123456789.:abcdefABCDEF[]") ==
-             std::string::npos;
+// The address in host byte order, or nothing if `text` is not one.
+std::optional<std::uint32_t> ParseAddress(const std::string& text) {
+  in_addr address{};
+  if (inet_pton(AF_INET, text.c_str(), &address) != 1) {
+    return std::nullopt;
+  }
+  return ntohl(address.s_addr);
 }
 
 }  // namespace
@@ -26,12 +30,18 @@
   const auto parsed =
       std::from_chars(text.data() + colon + 1, end, endpoint.m_port);
   if (parsed.ec != std::errc() || parsed.ptr != end ||
-      !IsDottedAddress(endpoint.m_address)) {
+      !ParseAddress(endpoint.m_address)) {
     return std::nullopt;
   }
   return endpoint;
 }
 
+bool Endpoint::IsConnectable() const {
+  const auto address = ParseAddress(m_address);
+  return address && *address != INADDR_ANY && *address != INADDR_BROADCAST &&
+         !IN_MULTICAST(*address) && m_port != 0;
+}
+
 std::string Endpoint::ToText() const {
   return fmt::format("{}:{}", m_address, m_port);
 }
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -16,6 +16,7 @@
 #include "core/check.h"
 #include "net/outbound_address.h"
 #include "net/socket_options.h"
+#include "net/tcp_endpoint.h"
 
 namespace jackdawrack {
 namespace {
@@ -120,10 +121,8 @@
     }
     CloseNow();
     beast::error_code address_error;
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(m_settings.m_endpoint.m_address, address_error),
-        m_settings.m_endpoint.m_port);
-    if (!m_stream.socket().is_open()) {
+    const auto endpoint = ToTcpEndpoint(m_settings.m_endpoint, address_error);
+    if (!address_error && !m_stream.socket().is_open()) {
       BindOutboundAddress(m_stream.socket(), address_error);
     }
     if (address_error) {
--- a/packages/net/src/listener.cpp
+++ b/packages/net/src/listener.cpp
@@ -1,5 +1,7 @@
 #include "net/listener.h"
 
+#include "net/tcp_endpoint.h"
+
 namespace jackdawrack {
 namespace {
 
@@ -13,9 +15,7 @@
 
 NetResult<void> OpenListener(Acceptor& acceptor, const Endpoint& endpoint) {
   boost::system::error_code error;
-  const boost::asio::ip::tcp::endpoint address(
-      boost::asio::ip::make_address(endpoint.m_address, error),
-      endpoint.m_port);
+  const auto address = ToTcpEndpoint(endpoint, error);
   if (!error) {
     acceptor.open(address.protocol(), error);
   }
--- a/packages/net/src/outbound_address.cpp
+++ b/packages/net/src/outbound_address.cpp
@@ -55,7 +55,9 @@
     return;
   }
   socket.set_option(BindAddressNoPort(true), error);
-  socket.bind(source, error);
+  if (!error) {
+    socket.bind(source, error);
+  }
 }
 
 }  // namespace jackdawrack
--- a/packages/peer/src/peer_link.cpp
+++ b/packages/peer/src/peer_link.cpp
@@ -6,6 +6,7 @@
 #include "core/check.h"
 #include "core/event.h"
 #include "net/outbound_address.h"
+#include "net/tcp_endpoint.h"
 
 namespace jackdawrack {
 namespace {
@@ -42,12 +43,19 @@
 
 void PeerLink::Connect() {
   boost::system::error_code error;
-  const asio::ip::tcp::endpoint endpoint(
-      asio::ip::make_address(m_target.m_peer_endpoint.m_address, error),
-      m_target.m_peer_endpoint.m_port);
-  m_is_connecting = true;
+  const auto endpoint = ToTcpEndpoint(m_target.m_peer_endpoint, error);
   auto socket = std::make_shared<asio::ip::tcp::socket>(m_strand);
-  BindOutboundAddress(*socket, error);
+  if (!error) {
+    BindOutboundAddress(*socket, error);
+  }
+  m_is_connecting = true;
+  if (error) {
+    // Posted, as the caller has not registered its call yet
+    asio::post(m_strand, [self = shared_from_this(), socket, error] {
+      self->OnConnected(error, std::move(*socket));
+    });
+    return;
+  }
   socket->async_connect(
       endpoint, [self = shared_from_this(), socket](auto connect_error) {
         self->m_connect_timer.cancel();
--- a/packages/routing/src/published_state.cpp
+++ b/packages/routing/src/published_state.cpp
@@ -3,6 +3,25 @@
 #include "core/event.h"
 
 namespace jackdawrack {
+namespace {
+
+void LogIgnored(const UnreadableValue& value) {
+  LogEvent(EventId::kPublishedValueIgnored, "key={} reason=\"{}\"", value.m_key,
+           value.m_reason);
+}
+
+// The store's records are checked when they are decoded; this also covers those
+// of peers.
+bool IsUsable(const ReplicaRecord& record) {
+  if (record.m_endpoint.IsConnectable()) {
+    return true;
+  }
+  LogIgnored({record.m_id.Text(),
+              "no connection can be opened to " + record.m_endpoint.ToText()});
+  return false;
+}
+
+}  // namespace
 
 bool PublishedState::ApplyConfig(const RoutingConfig& config) {
   const std::uint64_t known = m_table == nullptr ? 0 : m_table->Version();
@@ -21,14 +40,15 @@
     if (const auto* config = std::get_if<RoutingConfig>(&change)) {
       ApplyConfig(*config);
     } else if (const auto* record = std::get_if<ReplicaRecord>(&change)) {
-      m_directory.Apply(*record);
+      if (IsUsable(*record)) {
+        m_directory.Apply(*record);
+      }
     } else if (const auto* removal = std::get_if<ReplicaRemoval>(&change)) {
       m_directory.Remove(removal->m_id, now);
     } else if (const auto* missing = std::get_if<MissingReplica>(&change)) {
       m_directory.MarkMissing(missing->m_id, now);
     } else if (const auto* unreadable = std::get_if<UnreadableValue>(&change)) {
-      LogEvent(EventId::kPublishedValueIgnored, "key={} reason=\"{}\"",
-               unreadable->m_key, unreadable->m_reason);
+      LogIgnored(*unreadable);
     }
   }
   if (!changes.empty()) {
@@ -43,7 +63,11 @@
     if (const auto* config = std::get_if<RoutingConfig>(&change)) {
       ApplyConfig(*config);
     } else if (const auto* record = std::get_if<ReplicaRecord>(&change)) {
-      records.push_back(*record);
+      if (IsUsable(*record)) {
+        records.push_back(*record);
+      }
+    } else if (const auto* unreadable = std::get_if<UnreadableValue>(&change)) {
+      LogIgnored(*unreadable);
     }
   }
   m_directory.ApplyListing(records, now);
--- a/packages/routing/tests/published_state_test.cpp
+++ b/packages/routing/tests/published_state_test.cpp
@@ -30,6 +30,7 @@
   ManualClock clock;
   PublishedState state;
   ReplicaRecord record;
+  record.m_endpoint = Endpoint{"10.0.0.9", 8080};
   record.m_id = UpstreamId("a");
   state.Apply({record, UnreadableValue{"servers/a", "state: missing"}},
               clock.Now());
@@ -81,5 +82,21 @@
   REQUIRE(ConnectionShare({110, 2}, FleetSize{1, 1}, false) == 2);
 }
 
+// Such a record came with a peer's snapshot and ended the process when a
+// request was sent to it.
+TEST_CASE("a record that cannot be connected to never enters the directory") {
+  ManualClock clock;
+  PublishedState state;
+  ReplicaRecord record;
+  record.m_id = UpstreamId("odd");
+  for (const char* address : {"[::1]", "bad", "127.0.0.256", "", "0.0.0.0"}) {
+    INFO(address);
+    record.m_endpoint = Endpoint{address, 8080};
+    state.Apply({record}, clock.Now());
+    state.ApplyListing({record}, clock.Now());
+    REQUIRE(state.Directory().Size() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/testing/include/testing/raw_caller.h
+++ b/packages/testing/include/testing/raw_caller.h
@@ -21,9 +21,16 @@
   /// Sends bytes as they are; false if the connection has ended.
   bool Send(const std::string& bytes);
 
-  /// The next reply, or nothing if the connection ends before it is whole.
+  /// The next reply, or nothing if the connection ends before it is whole or
+  /// nothing comes for a long time; `LastProblem` then tells why.
   std::optional<HttpReply> Read();
 
+  /// Why the last `Read` returned nothing: the error, and the bytes that were
+  /// read but are no reply.
+  [[nodiscard]] const std::string& LastProblem() const {
+    return m_last_problem;
+  }
+
   /// Sends a request with an id, and reads its reply.
   std::optional<HttpReply> Call(const std::string& method,
                                 const std::string& target,
@@ -45,6 +52,7 @@
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::socket m_socket;
   boost::beast::flat_buffer m_buffer;
+  std::string m_last_problem;
 };
 
 }  // namespace jackdawrack
--- a/packages/testing/src/raw_caller.cpp
+++ b/packages/testing/src/raw_caller.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -10,6 +11,13 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+/// Longer than any reply takes; bounds a test whose request is never answered.
+constexpr std::chrono::seconds kReadTimeout{20};
+
+}  // namespace
+
 RawCaller::RawCaller(std::uint16_t port) : m_socket(m_context) {
   m_socket.connect(boost::asio::ip::tcp::endpoint(
       boost::asio::ip::address_v4::loopback(), port));
@@ -23,9 +31,25 @@
 
 std::optional<HttpReply> RawCaller::Read() {
   http::response<http::string_body> message;
-  boost::system::error_code error;
-  http::read(m_socket, m_buffer, message, error);
+  boost::system::error_code error = boost::asio::error::timed_out;
+  std::size_t size = 0;
+  http::async_read(m_socket, m_buffer, message,
+                   [&](boost::system::error_code result, std::size_t read) {
+                     if (result != boost::asio::error::operation_aborted) {
+                       error = result;
+                     }
+                     size = read;
+                   });
+  m_context.restart();
+  m_context.run_for(kReadTimeout);
+  if (!m_context.stopped()) {
+    m_socket.cancel();
+    m_context.run();
+  }
   if (error) {
+    m_last_problem =
+        fmt::format("{} after {} bytes; unread: \"{}\"", error.message(), size,
+                    boost::beast::buffers_to_string(m_buffer.data()));
     return std::nullopt;
   }
   HttpReply reply;
--- a/packages/testing/tests/gateway_state_test.cpp
+++ b/packages/testing/tests/gateway_state_test.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -155,6 +157,35 @@
   }));
 }
 
+// The address was taken for one of an upstream: requests given to it were never
+// answered, and processes ended.
+TEST_CASE("a record with an address that is not IPv4 loses no request") {
+  GatewayFleet fleet(
+      {.m_name = "gw-odd-address", .m_replica_domains = {"east"}});
+  fleet.Start();
+  // Slower than an unknown upstream is expected to be, so that one is tried
+  fleet.Replica("single", "east").SetServiceTime(Milliseconds(60));
+  for (const char* address :
+       {"[::1]:8080", "127.0.0.256:8080", "bad:8080", "127.0.0.1:0"}) {
+    fleet.Store().Put(
+        fmt::format("servers/odd-{}", fleet.Store().CallCount()),
+        fmt::format(R"({{"service":"single","address":"{}","zone":"east",)"
+                    R"("version":"v","maxConcurrency":4,"state":"ready",)"
+                    R"("coldMs":0,"sequence":1,"born":1000}})",
+                    address));
+    std::this_thread::sleep_for(Milliseconds(600));
+    for (int call = 0; call < 12; ++call) {
+      INFO(address << " " << call);
+      const std::string id = fmt::format("o{}", call);
+      RawCaller caller(fleet.CallerPort());
+      REQUIRE(StatusOf(caller.Call("GET", "/one/x", id)) == 200);
+      REQUIRE(StatusOf(caller.Call("POST", "/book/x", id + "b", "lens")) ==
+              200);
+    }
+  }
+  REQUIRE_FALSE(fleet.Process(0).HasEnded());
+}
+
 TEST_CASE("an instance that the store refuses starts with what a peer knows") {
   GatewayFleet fleet(
       {.m_name = "gw-peer-state", .m_instance_domains = {"east", "west"}});
