Hold a request to the limits in force when it arrives

Cause: a session took the limits when it began to wait for a request, so that a connection which was idle during the change kept the old ones. The limits of the header and the idle timeout were taken in the same way.

Ruled out: the spread of the version, as new connections had the new limit at once.

The limits are read when the first bytes of a request arrive. An idle connection is kept for the timeout now in force or for as long as its last response announced, whichever is longer.

Tests: "a request is held to the limits in force when it arrives" and "an idle connection is kept for the idle timeout now in force" failed with the limits taken as before (413, and closed after the old time).

--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -93,20 +93,28 @@
 
 asio::awaitable<void> CallerSession::ReadRequest() {
   const auto self = shared_from_this();
-  const CallerLimits limits = m_request_handler.Limits();
-  m_state = m_buffer.size() > 0 ? State::kReading : State::kIdle;
-  m_idle_since = BootClock().Now();
-  m_timeout_at =
-      m_idle_since + (m_state == State::kIdle ? limits.m_idle_timeout
-                                              : limits.m_header_timeout);
-  m_parser.emplace();
-  m_parser->header_limit(limits.m_max_header_bytes);
-  m_parser->body_limit(limits.m_max_body_bytes);
-  m_parser->eager(true);
   m_body_memory.Release();
+  m_state = State::kIdle;
+  m_idle_since = BootClock().Now();
+  m_timeout_at = TimePoint::max();
 
   // Read until the request is complete
-  while (true) {
+  while (m_state == State::kIdle || !m_parser->is_done()) {
+    if (m_buffer.size() == 0 || m_state == State::kReading) {
+      const auto [error, size] = co_await m_socket.async_read_some(
+          m_buffer.prepare(kReadChunkBytes), kAwaitTuple);
+      if (error == asio::error::operation_aborted && HasUnreadBytes()) {
+        continue;
+      }
+      if (error) {
+        OnReadError(error);
+        co_return;
+      }
+      m_buffer.commit(size);
+    }
+    if (m_state == State::kIdle) {
+      BeginRequest();
+    }
     if (const auto error = Parse()) {
       OnReadError(error);
       co_return;
@@ -116,27 +124,11 @@
           kMemoryRetryAfter, "Too many bodies are being received."));
       co_return;
     }
-    if (m_parser->is_done()) {
-      break;
-    }
-    if (m_buffer.size() > limits.m_max_header_bytes + kMaxUnparsedBytes) {
+    if (m_buffer.size() > m_limits.m_max_header_bytes + kMaxUnparsedBytes &&
+        !m_parser->is_done()) {
       Refuse(http::error::header_limit);
       co_return;
     }
-    const auto [error, size] = co_await m_socket.async_read_some(
-        m_buffer.prepare(kReadChunkBytes), kAwaitTuple);
-    if (error == asio::error::operation_aborted && HasUnreadBytes()) {
-      continue;
-    }
-    if (error) {
-      OnReadError(error);
-      co_return;
-    }
-    m_buffer.commit(size);
-    if (m_state == State::kIdle) {
-      m_state = State::kReading;
-      m_timeout_at = BootClock().Now() + limits.m_header_timeout;
-    }
   }
 
   // Pass the request to the gateway
@@ -159,6 +151,17 @@
   }
 }
 
+void CallerSession::BeginRequest() {
+  // The limits may have changed while the connection was idle
+  m_limits = m_request_handler.Limits();
+  m_state = State::kReading;
+  m_timeout_at = BootClock().Now() + m_limits.m_header_timeout;
+  m_parser.emplace();
+  m_parser->header_limit(m_limits.m_max_header_bytes);
+  m_parser->body_limit(m_limits.m_max_body_bytes);
+  m_parser->eager(true);
+}
+
 boost::system::error_code CallerSession::Parse() {
   boost::system::error_code error;
   if (!m_parser->is_header_done() && HasFoldedField(m_buffer)) {
@@ -242,8 +245,9 @@
 asio::awaitable<void> CallerSession::WriteResponse(CallerResponse response,
                                                    bool keep_alive) {
   const auto self = shared_from_this();
-  const std::string head = MakeResponseHead(
-      response, keep_alive, m_request_handler.Limits().m_idle_timeout);
+  m_announced_idle_time = m_request_handler.Limits().m_idle_timeout;
+  const std::string head =
+      MakeResponseHead(response, keep_alive, m_announced_idle_time);
   std::array<asio::const_buffer, 2> buffers{asio::buffer(head), {}};
   if (!m_is_head_request) {
     buffers[1] = asio::buffer(response.m_body);
@@ -318,12 +322,10 @@
 }
 
 void CallerSession::CloseIfTimedOut(TimePoint now) {
-  if (now < m_timeout_at) {
-    return;
-  }
   if (m_state == State::kIdle) {
-    CloseIfIdle(now, Milliseconds(0));
-  } else {
+    CloseIfIdle(now, std::max(m_request_handler.Limits().m_idle_timeout,
+                              m_announced_idle_time));
+  } else if (now >= m_timeout_at) {
     Close();
   }
 }
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -19,7 +19,7 @@
  public:
   virtual ~CallerRequestHandler() = default;
 
-  /// Limits on the next request.
+  /// Limits on requests that arrive now.
   [[nodiscard]] virtual CallerLimits Limits() const = 0;
 
   /// False if connections are to be closed after their next response.
@@ -66,6 +66,8 @@
   enum class State : std::uint8_t { kIdle, kReading, kServing, kClosing };
 
   boost::asio::awaitable<void> ReadRequest();
+  /// Prepares for the request whose first bytes have arrived.
+  void BeginRequest();
   /// Passes the bytes read so far to the parser.
   boost::system::error_code Parse();
   /// Reserves the memory of the body that is being read; false if there is too
@@ -91,6 +93,10 @@
   MemoryReservation m_body_memory;
   std::shared_ptr<ActiveRequest> m_active_request;
   State m_state = State::kIdle;
+  /// Limits on the current request.
+  CallerLimits m_limits;
+  /// Idle time that the last response announced to the caller.
+  Milliseconds m_announced_idle_time{0};
   TimePoint m_timeout_at = TimePoint::max();
   TimePoint m_idle_since{};
   bool m_is_keep_alive_requested = false;
--- a/packages/gateway/tests/caller_session_test.cpp
+++ b/packages/gateway/tests/caller_session_test.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -42,8 +43,8 @@
 
 class ImmediateHandler final : public CallerRequestHandler {
  public:
-  [[nodiscard]] CallerLimits Limits() const override { return {}; }
-  [[nodiscard]] bool AllowsKeepAlive() const override { return false; }
+  [[nodiscard]] CallerLimits Limits() const override { return m_limits; }
+  [[nodiscard]] bool AllowsKeepAlive() const override { return m_keep_alive; }
 
   std::shared_ptr<ActiveRequest> Serve(
       CallerHttpRequest,
@@ -52,8 +53,61 @@
     return std::make_shared<ImmediateRequest>(std::move(on_response),
                                               std::make_shared<bool>(false));
   }
+
+  CallerLimits m_limits;
+  bool m_keep_alive = false;
+};
+
+/// A session, and the caller's side of its connection.
+class ConnectedSession final {
+ public:
+  explicit ConnectedSession(const CallerLimits& limits)
+      : m_acceptor(
+            m_context,
+            asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_caller(m_context) {
+    m_handler.m_limits = limits;
+    m_handler.m_keep_alive = true;
+    m_caller.connect(m_acceptor.local_endpoint());
+    m_session = std::make_shared<CallerSession>(m_acceptor.accept(), m_handler,
+                                                m_memory);
+    m_session->Start();
+    Run();
+  }
+
+  /// Sends bytes and returns what the session has sent by then.
+  std::string Exchange(const std::string& bytes) {
+    asio::write(m_caller, asio::buffer(bytes));
+    Run();
+    std::string reply(m_caller.available(), '\0');
+    asio::read(m_caller, asio::buffer(reply));
+    return reply;
+  }
+
+  void Run() {
+    m_context.restart();
+    m_context.run_for(Milliseconds(100));
+  }
+
+  ImmediateHandler& Handler() { return m_handler; }
+  CallerSession& Session() { return *m_session; }
+
+ private:
+  asio::io_context m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::socket m_caller;
+  ImmediateHandler m_handler;
+  const MemoryBudget m_memory{1 << 20};
+  std::shared_ptr<CallerSession> m_session;
 };
 
+std::string MakePost(std::size_t header_bytes, std::size_t body_bytes) {
+  return "POST / HTTP/1.1\r\nHost: app.test\r\nX-Fill: " +
+         std::string(header_bytes, 'h') +
+         "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+         std::string(body_bytes, 'b');
+}
+
 TEST_CASE("a request that responds inside Start lives until Start returns") {
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor(
@@ -77,5 +131,64 @@
   REQUIRE_FALSE(ImmediateRequest::s_was_destroyed_early);
 }
 
+// Connections that were idle when a limit was raised held the old one against
+// their next request.
+TEST_CASE("a request is held to the limits in force when it arrives") {
+  CallerLimits first;
+  first.m_max_header_bytes = 500;
+  first.m_max_body_bytes = 1'000;
+  ConnectedSession connection(first);
+  CallerLimits& limits = connection.Handler().m_limits;
+  REQUIRE(connection.Exchange(MakePost(10, 900)).starts_with("HTTP/1.1 503"));
+
+  limits.m_max_header_bytes = 5'000;
+  limits.m_max_body_bytes = 10'000;
+  REQUIRE(
+      connection.Exchange(MakePost(4'000, 9'000)).starts_with("HTTP/1.1 503"));
+
+  limits.m_max_body_bytes = 1'000;
+  REQUIRE(connection.Exchange(MakePost(10, 2'000)).starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("an idle connection is kept for the idle timeout now in force") {
+  CallerLimits first;
+  first.m_idle_timeout = Milliseconds(15'000);
+  ConnectedSession connection(first);
+  CallerLimits& limits = connection.Handler().m_limits;
+  connection.Session().CloseIfTimedOut(BootClock().Now() +
+                                       Milliseconds(14'000));
+  connection.Run();
+  REQUIRE_FALSE(connection.Session().IsClosed());
+
+  limits.m_idle_timeout = Milliseconds(60'000);
+  connection.Session().CloseIfTimedOut(BootClock().Now() +
+                                       Milliseconds(50'000));
+  connection.Run();
+  REQUIRE_FALSE(connection.Session().IsClosed());
+  connection.Session().CloseIfTimedOut(BootClock().Now() +
+                                       Milliseconds(61'000));
+  connection.Run();
+  REQUIRE(connection.Session().IsClosed());
+}
+
+TEST_CASE("an idle connection is kept for as long as its response announced") {
+  CallerLimits first;
+  first.m_idle_timeout = Milliseconds(15'000);
+  ConnectedSession connection(first);
+  CallerLimits& limits = connection.Handler().m_limits;
+  const std::string reply = connection.Exchange(MakePost(10, 10));
+  REQUIRE(reply.find("Keep-Alive: timeout=15\r\n") != std::string::npos);
+
+  limits.m_idle_timeout = Milliseconds(5'000);
+  connection.Session().CloseIfTimedOut(BootClock().Now() +
+                                       Milliseconds(14'000));
+  connection.Run();
+  REQUIRE_FALSE(connection.Session().IsClosed());
+  connection.Session().CloseIfTimedOut(BootClock().Now() +
+                                       Milliseconds(16'000));
+  connection.Run();
+  REQUIRE(connection.Session().IsClosed());
+}
+
 }  // namespace
 }  // namespace jackdawrack
