--- a/packages/testing/tests/gateway_state_test.cpp
+++ b/packages/testing/tests/gateway_state_test.cpp
@@ -186,6 +186,54 @@
   REQUIRE_FALSE(fleet.Process(0).HasEnded());
 }
 
+TEST_CASE("odd records of another writer stop no instance from following") {
+  GatewayFleet fleet(
+      {.m_name = "gw-odd-records", .m_instance_domains = {"east", "west"}});
+  fleet.Start();
+  const std::string deep(100'000, '[');
+  const auto record = [](const std::string& address, const std::string& slots,
+                         const std::string& cold) {
+    return fmt::format(R"({{"service":"single","address":"{}","zone":"east",)"
+                       R"("version":"v","maxConcurrency":{},"state":"ready",)"
+                       R"("coldMs":{},"sequence":1,"born":1000}})",
+                       address, slots, cold);
+  };
+  int number = 0;
+  for (const std::string& odd :
+       {deep, record("127.0.0.1:9", deep, "0"),
+        record("127.0.0.1:9", "1e999", "0"),
+        record("127.0.0.1:9", "99999999999999999999", "0"),
+        record("127.0.0.1:9", "4", "18446744073709551615"),
+        record("127.0.0.1:99999", "4", "0"),
+        record("127.0.0.1:-1", "4", "0")}) {
+    INFO(odd.substr(0, 200));
+    fleet.Store().Put(fmt::format("servers/odd-{}", ++number), odd);
+    // What is published next is in force on all instances
+    const std::string service = fmt::format("next-{}", number);
+    fleet.AddService(service);
+    fleet.PublishConfig(static_cast<std::uint64_t>(number) + 1, {service});
+    for (const std::size_t instance : {std::size_t{0}, std::size_t{1}}) {
+      REQUIRE(Within(kApplyTime, [&] {
+        RawCaller caller(fleet.CallerPort(instance));
+        const auto reply = caller.Call("GET", "/q/x", service);
+        return reply && reply->Header("X-Part-Stamps").find(service) !=
+                            std::string::npos;
+      }));
+      REQUIRE_FALSE(fleet.Process(instance).HasEnded());
+    }
+  }
+
+  // A process that lists them at its start serves as well
+  fleet.Process(0).Kill();
+  fleet.StartInstance(0);
+  REQUIRE(fleet.WaitReady(0));
+  RawCaller caller(fleet.CallerPort());
+  for (int call = 0; call < 8; ++call) {
+    REQUIRE(StatusOf(caller.Call("GET", "/one/x", fmt::format("l{}", call))) ==
+            200);
+  }
+}
+
 TEST_CASE("an instance that the store refuses starts with what a peer knows") {
   GatewayFleet fleet(
       {.m_name = "gw-peer-state", .m_instance_domains = {"east", "west"}});
