Test answers whose head breaks off at any byte

From a report of operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body.

The parser reports a header without its end as a partial message. A head that is whole but for its length ends with its connection, as the protocol has it.

--- a/packages/testing/tests/gateway_broken_answers_test.cpp
+++ b/packages/testing/tests/gateway_broken_answers_test.cpp
@@ -132,6 +132,38 @@
   }
 }
 
+TEST_CASE("an answer whose head breaks off anywhere is never a success") {
+  GatewayFleet fleet({.m_name = "gw-cut-head", .m_replica_domains = {"east"}});
+  fleet.Start();
+  const std::string head = kHead + "Content-Length: 16\r\n\r\n";
+  RawCaller caller(fleet.CallerPort());
+  int number = 0;
+  for (const RawEnd end : {RawEnd::kClose, RawEnd::kReset}) {
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      for (const char* target : {"/one/x", "/book/x", "/q/x"}) {
+        const std::string method =
+            target == std::string("/book/x") ? "POST" : "GET";
+        const std::string id = fmt::format("h{}", ++number);
+        INFO(target << " " << length << " of " << head.size());
+        // Every other answer is whole, so that connections are opened at once
+        const bool is_scattered = target == std::string("/q/x");
+        for (const std::string& service :
+             is_scattered ? std::vector<std::string>{"shard-0", "shard-1"}
+                          : std::vector<std::string>{"single"}) {
+          ReplicaStandin& replica = fleet.Replica(service, "east");
+          replica.SetRawAnswer({head.substr(0, length), "", {}, end});
+          replica.SetMode(ReplicaMode::kRaw, 1);
+        }
+        const auto reply = caller.Call(method, target, id, "");
+        REQUIRE(reply.has_value());
+        REQUIRE((reply->m_status == 502 || reply->m_status == 504));
+        REQUIRE(StatusOf(caller.Call(method, target, id + "-whole", "")) ==
+                200);
+      }
+    }
+  }
+}
+
 TEST_CASE(
     "a part with a length may end inside a record, also as the last one") {
   // What is left behind the last whole record is no record. An upstream that
