Answer every request by the end of a planned stop's grace period

Callers saw: a request that was complete late in the grace period was passed on and cut off at its end without an answer, also one that may run only once; so were requests that waited for a connection.

Cause: the stop waited for the callers' connections and ended the event loop 0.4 s before the kill, whatever ran. Nothing looked at the time left when a request arrived.

Ruled out: the balancer and idle connections, as the requests came on connections that were being read.

ShutdownSchedule holds the stages. Once no connections are accepted, a request is refused with 503, not run, unless its response is expected in time: an idempotent one by its target latency, one that may run once by its whole time.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -13,6 +13,7 @@
 #include "exchange/peer_exchange.h"
 #include "file_mark.h"
 #include "gateway/gateway.h"
+#include "gateway/shutdown_schedule.h"
 #include "gateway_operator_api.h"
 #include "gateway_part_settings.h"
 #include "net/http_server.h"
@@ -33,19 +34,12 @@
 /// microseconds of a whole core.
 constexpr std::uint64_t kSpeedProbeSteps = 2'000;
 
-/// Time for which connections still arrive after readiness has ended: the
-/// balancer asks once a second and acts on the second miss.
-constexpr Milliseconds kBalancerLag{2'600};
-
 /// Time for which connections wait to be accepted while nothing published is
 /// known; a caller gives a request up that is not read within a second.
 constexpr Milliseconds kLongestAcceptDelay{600};
 
 constexpr Milliseconds kStopPoll{20};
 
-/// Kept before the process is killed, to end by itself.
-constexpr Milliseconds kExitMargin{400};
-
 constexpr unsigned kStatusNotReady = 503;
 constexpr unsigned kStatusNotFound = 404;
 
@@ -338,7 +332,7 @@
 
   void BeginStop() {
     m_is_stopping = true;
-    m_stop_began = BootClock().Now();
+    m_shutdown.emplace(BootClock().Now(), m_settings.m_shutdown_grace_period);
     LogEvent(EventId::kProcessStopping, "connections={}",
              m_gateway.CallerConnections());
     m_gateway.EndKeepAlive();
@@ -348,12 +342,14 @@
   }
 
   void ContinueStop() {
-    const Duration since = BootClock().Now() - m_stop_began;
-    if (since >= kBalancerLag) {
-      m_gateway.StopAccepting();
+    const TimePoint now = BootClock().Now();
+    if (now >= m_shutdown->StopAcceptingAt()) {
+      m_gateway.StopAccepting(m_shutdown->ResponsesDueAt());
       m_gateway.CloseIdle();
-      if (m_gateway.CallerConnections() == 0 ||
-          since >= m_settings.m_shutdown_grace_period - kExitMargin) {
+      if (now >= m_shutdown->ResponsesDueAt()) {
+        m_gateway.FinishRequests();
+      }
+      if (m_gateway.CallerConnections() == 0 || now >= m_shutdown->ExitAt()) {
         m_context.stop();
         return;
       }
@@ -390,7 +386,7 @@
   bool m_is_ready = false;
   bool m_is_stopping = false;
   const TimePoint m_started = BootClock().Now();
-  TimePoint m_stop_began{};
+  std::optional<ShutdownSchedule> m_shutdown;
 };
 
 GatewayDaemon::GatewayDaemon(GatewayFileSettings settings,
--- a/packages/gateway/include/gateway/gateway.h
+++ b/packages/gateway/include/gateway/gateway.h
@@ -59,8 +59,13 @@
   void PauseKeepAlive(bool is_paused);
 
   /// Accepts the connections in the backlog and closes the listener. Open
-  /// connections and running requests continue.
-  void StopAccepting();
+  /// connections and running requests continue. Requests that still arrive are
+  /// refused unless they are expected to be answered by `responses_due_at`.
+  void StopAccepting(TimePoint responses_due_at);
+
+  /// Responds at once to all requests that are being served. Those that no
+  /// upstream has executed are refused.
+  void FinishRequests();
 
   /// Closes callers' connections that have been idle for long enough that no
   /// request is expected to be in transit.
--- a/packages/gateway/src/active_request.h
+++ b/packages/gateway/src/active_request.h
@@ -24,6 +24,10 @@
   /// Has to be called when the caller disconnects: running attempts are
   /// abandoned and the handler is not called.
   virtual void OnCallerDisconnected() = 0;
+
+  /// Responds now with what has been received so far; running attempts are
+  /// abandoned.
+  virtual void FinishNow() = 0;
 };
 
 /// Makes the 503 response to a request that no upstream has executed and that
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -87,6 +87,12 @@
   }
 }
 
+void CallerListener::FinishRequests() {
+  for (const auto& session : m_sessions) {
+    session->FinishRequest();
+  }
+}
+
 void CallerListener::CloseIdle(TimePoint now, Milliseconds min_idle_time) {
   for (const auto& session : m_sessions) {
     session->CloseIfIdle(now, min_idle_time);
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -42,6 +42,9 @@
   /// `min_idle_time`.
   void CloseIdle(TimePoint now, Milliseconds min_idle_time);
 
+  /// Responds at once to all requests that are being served.
+  void FinishRequests();
+
   /// Number of sessions; closed ones count until the next `CloseTimedOut`.
   [[nodiscard]] std::size_t ConnectionCount() const {
     return m_sessions.size();
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -339,6 +339,12 @@
   m_socket.cancel(ignored);
 }
 
+void CallerSession::FinishRequest() {
+  if (const auto active_request = m_active_request) {
+    active_request->FinishNow();
+  }
+}
+
 void CallerSession::Close() {
   m_timeout_at = TimePoint::max();
   m_state = State::kClosing;
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -57,6 +57,9 @@
   /// served.
   void CloseIfIdle(TimePoint now, Milliseconds min_idle_time);
 
+  /// Responds at once to the request that is being served, if there is one.
+  void FinishRequest();
+
   [[nodiscard]] bool IsClosed() const { return !m_socket.is_open(); }
 
  private:
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -83,6 +83,11 @@
     ScheduleTimer();
     return;
   }
+  FinishNow();
+}
+
+void ForwardedRequest::FinishNow() {
+  const TimePoint now = BootClock().Now();
   m_sub_request->Stop(now);
   Respond(m_sub_request->MayHaveExecuted()
               ? MakeOutcomeUnknownResponse(*m_request, now)
--- a/packages/gateway/src/forwarded_request.h
+++ b/packages/gateway/src/forwarded_request.h
@@ -17,6 +17,7 @@
 
   void Start() override;
   void OnCallerDisconnected() override;
+  void FinishNow() override;
 
  private:
   void ScheduleTimer();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -111,10 +111,15 @@
   m_impl->m_router.PauseKeepAlive(is_paused);
 }
 
-void Gateway::StopAccepting() {
+void Gateway::StopAccepting(TimePoint responses_due_at) {
+  m_impl->m_router.SetResponsesDueAt(responses_due_at);
   m_impl->m_listener.StopAccepting();
 }
 
+void Gateway::FinishRequests() {
+  m_impl->m_listener.FinishRequests();
+}
+
 void Gateway::CloseIdle() {
   m_impl->m_listener.CloseIdle(BootClock().Now(), kMinIdleTime);
 }
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -22,6 +22,9 @@
 /// seconds.
 constexpr Milliseconds kNoConfigRetryAfter{200};
 
+/// Retry-After of a request that another instance can take at once.
+constexpr Milliseconds kStoppingRetryAfter{0};
+
 using FloatMs = std::chrono::duration<double, std::milli>;
 
 std::string_view ToView(boost::beast::string_view text) {
@@ -64,6 +67,36 @@
   return Milliseconds(value);
 }
 
+// When the response to a request is expected at the latest. One that may be
+// executed only once is given all its time, as it cannot be repeated elsewhere
+// if it is cut off.
+TimePoint LatestExpectedResponse(const RoutedRequest& request) {
+  if (!request.IsIdempotent()) {
+    return request.m_deadline;
+  }
+  return std::min(request.m_deadline,
+                  request.m_arrived_at + request.m_route->m_target_latency);
+}
+
+void LogStopping(const RoutedRequest& request, TimePoint responses_due_at) {
+  LogEvent(EventId::kRequestRefusedStopping,
+           "request={} route={} version={} left_ms={}", request.m_request_id,
+           request.m_route->m_name, request.m_route_table->Version(),
+           RemainingMs(BootClock().Now(), responses_due_at));
+}
+
+void LogBusy(const RoutedRequest& request, const BusyRefusal& refusal) {
+  LogEvent(EventId::kRequestRefusedBusy,
+           "request={} route={} version={} wait_ms={:.1f} latency_ms={:.1f} "
+           "target_ms={} retry_after_ms={}",
+           request.m_request_id, request.m_route->m_name,
+           request.m_route_table->Version(),
+           FloatMs(refusal.m_load.m_queueing_delay).count(),
+           FloatMs(refusal.m_load.m_latency).count(),
+           request.m_route->m_target_latency.count(),
+           refusal.m_retry_after.count());
+}
+
 // Part of the caller's deadline reserved for network transit of the request and
 // the response, so that a response sent at the last moment arrives in time.
 Milliseconds TransitMargin(Milliseconds deadline) {
@@ -139,20 +172,9 @@
   return RefuseIfBusy(admission, std::move(loads));
 }
 
-void RequestRouter::RefuseBusy(const RoutedRequest& request,
-                               const BusyRefusal& refusal,
-                               const ActiveRequest::ResponseHandler& handler) {
-  CallerResponse response = MakeServiceUnavailableResponse(
-      refusal.m_retry_after, "More requests wait than can be served in time.");
-  LogEvent(EventId::kRequestRefusedBusy,
-           "request={} route={} version={} wait_ms={:.1f} latency_ms={:.1f} "
-           "target_ms={} retry_after_ms={}",
-           request.m_request_id, request.m_route->m_name,
-           request.m_route_table->Version(),
-           FloatMs(refusal.m_load.m_queueing_delay).count(),
-           FloatMs(refusal.m_load.m_latency).count(),
-           request.m_route->m_target_latency.count(),
-           refusal.m_retry_after.count());
+void RequestRouter::Refuse(const RoutedRequest& request,
+                           CallerResponse response,
+                           const ActiveRequest::ResponseHandler& handler) {
   RecordFinishedRequest(m_context, {request, {}, response.m_status, 0},
                         BootClock().Now());
   handler(std::move(response));
@@ -192,8 +214,21 @@
 
   // Admit the request unless it would only delay others
   auto request = MakeRoutedRequest(http_request, *route, arrived_at);
+  if (LatestExpectedResponse(*request) > m_responses_due_at) {
+    LogStopping(*request, m_responses_due_at);
+    Refuse(*request,
+           MakeServiceUnavailableResponse(kStoppingRetryAfter,
+                                          "This instance is stopping."),
+           handler);
+    return nullptr;
+  }
   if (const auto refusal = CheckAdmission(*request)) {
-    RefuseBusy(*request, *refusal, handler);
+    LogBusy(*request, *refusal);
+    Refuse(*request,
+           MakeServiceUnavailableResponse(
+               refusal->m_retry_after,
+               "More requests wait than can be served in time."),
+           handler);
     return nullptr;
   }
   if (route->IsScattered()) {
--- a/packages/gateway/src/request_router.h
+++ b/packages/gateway/src/request_router.h
@@ -30,6 +30,10 @@
   /// From now on connections are closed after their next response.
   void EndKeepAlive() { m_is_keep_alive_ended = true; }
 
+  /// From now on, requests are refused unless they are expected to be answered
+  /// by `time`.
+  void SetResponsesDueAt(TimePoint time) { m_responses_due_at = time; }
+
   /// While paused, connections are closed after their next response.
   void PauseKeepAlive(bool is_paused) { m_is_keep_alive_paused = is_paused; }
 
@@ -41,12 +45,14 @@
 
   [[nodiscard]] std::optional<BusyRefusal> CheckAdmission(
       const RoutedRequest& request);
-  void RefuseBusy(const RoutedRequest& request,
-                  const BusyRefusal& refusal,
-                  const ActiveRequest::ResponseHandler& handler);
+  /// Sends the response to a request that is not processed.
+  void Refuse(const RoutedRequest& request,
+              CallerResponse response,
+              const ActiveRequest::ResponseHandler& handler);
 
   GatewayContext m_context;
   const PublishedState& m_state;
+  TimePoint m_responses_due_at = TimePoint::max();
   bool m_is_keep_alive_ended = false;
   bool m_is_keep_alive_paused = false;
   std::unordered_map<std::string, WeightedRoundRobin> m_rotations;
--- a/packages/gateway/src/scatter_gather_request.cpp
+++ b/packages/gateway/src/scatter_gather_request.cpp
@@ -94,14 +94,22 @@
 }
 
 void ScatterGatherRequest::FinishIfDecided() {
-  const TimePoint now = BootClock().Now();
-  const GatherDecision verdict = m_progress.Decide(now);
-  if (m_is_finished || verdict == GatherDecision::kWait) {
-    return;
+  const GatherDecision decision = m_progress.Decide(BootClock().Now());
+  if (!m_is_finished && decision != GatherDecision::kWait) {
+    Finish(decision);
   }
+}
+
+void ScatterGatherRequest::FinishNow() {
+  // No more parts will arrive, as at the deadline
+  Finish(m_progress.Decide(m_request->m_deadline));
+}
+
+void ScatterGatherRequest::Finish(GatherDecision decision) {
+  const TimePoint now = BootClock().Now();
   StopSubRequests(now);
-  Respond(verdict == GatherDecision::kAnswer ? MakeMergedResponse()
-                                             : MakeFailureResponse(now));
+  Respond(decision == GatherDecision::kAnswer ? MakeMergedResponse()
+                                              : MakeFailureResponse(now));
 }
 
 void ScatterGatherRequest::ScheduleTimer() {
--- a/packages/gateway/src/scatter_gather_request.h
+++ b/packages/gateway/src/scatter_gather_request.h
@@ -19,10 +19,12 @@
 
   void Start() override;
   void OnCallerDisconnected() override;
+  void FinishNow() override;
 
  private:
   void OnSubRequestFinished(std::size_t index, SubRequestResult result);
   void FinishIfDecided();
+  void Finish(GatherDecision decision);
   /// Sets the timer to the next decision or wake of a part.
   void ScheduleTimer();
   /// Sets the timer to `time` if it would expire later; unlike `ScheduleTimer`
--- a/packages/gateway/tests/caller_session_test.cpp
+++ b/packages/gateway/tests/caller_session_test.cpp
@@ -33,6 +33,7 @@
   }
 
   void OnCallerDisconnected() override {}
+  void FinishNow() override {}
 
   inline static bool s_was_destroyed_early = false;
 
--- a/packages/testing/tests/gateway_stop_test.cpp
+++ b/packages/testing/tests/gateway_stop_test.cpp
@@ -67,6 +67,102 @@
   caller.m_reply = connection->Read();
 }
 
+/// A request whose body arrives in two halves, the second one after a delay.
+struct LateRequest {
+  std::string m_target;
+  Milliseconds m_delay{0};
+  std::optional<HttpReply> m_reply;
+  std::thread m_thread;
+
+  [[nodiscard]] std::string Id() const {
+    return fmt::format("{}-{}", m_target.substr(1, 3), m_delay.count());
+  }
+};
+
+// Such requests were passed on and cut off at the end of the grace period, also
+// those that may be executed only once.
+TEST_CASE(
+    "requests that come late in the grace period are answered or refused") {
+  GatewayFleet fleet({.m_name = "gw-stop-late", .m_replica_domains = {"east"}});
+  fleet.Start();
+  fleet.Replica("single", "east").SetServiceTime(Milliseconds(1'200));
+  std::vector<std::unique_ptr<LateRequest>> requests;
+  for (const char* target : {"/one/x", "/book/x"}) {
+    for (const int delay_ms :
+         {2'500, 3'000, 4'000, 4'600, 5'000, 5'300, 5'480}) {
+      auto request = std::make_unique<LateRequest>();
+      request->m_target = target;
+      request->m_delay = Milliseconds(delay_ms);
+      requests.push_back(std::move(request));
+    }
+  }
+  const TimePoint stop_at = SteadyClock().Now() + Milliseconds(300);
+  for (const auto& request : requests) {
+    request->m_thread = std::thread([&fleet, request = request.get(), stop_at] {
+      const std::string bytes = RawCaller::MakeRequest(
+          "POST", request->m_target, request->Id(), "lens", 3'000);
+      RawCaller caller(fleet.CallerPort());
+      caller.Send(bytes.substr(0, bytes.size() - 2));
+      std::this_thread::sleep_until(stop_at + request->m_delay);
+      caller.Send(bytes.substr(bytes.size() - 2));
+      request->m_reply = caller.Read();
+    });
+  }
+  std::this_thread::sleep_until(stop_at);
+  fleet.Process(0).Signal(SIGTERM);
+  for (const auto& request : requests) {
+    request->m_thread.join();
+  }
+  for (const auto& request : requests) {
+    INFO(request->Id());
+    REQUIRE(request->m_reply.has_value());
+    const unsigned status = request->m_reply->m_status;
+    const std::size_t runs = fleet.RunsOf(request->Id());
+    REQUIRE((status == 200 || status == 502 || status == 503));
+    REQUIRE(runs == (status == 503 ? 0 : 1));
+    if (request->m_target == "/book/x") {
+      REQUIRE(status != 502);
+    }
+  }
+  REQUIRE(fleet.Process(0).WaitExit(6'000) == 0);
+}
+
+TEST_CASE("no request is left without an answer at the end of a grace period") {
+  // Some run at the upstream, the others wait for a connection
+  GatewayFleet fleet({.m_name = "gw-stop-end",
+                      .m_replica_domains = {"east"},
+                      .m_timeout_ms = 20'000});
+  fleet.Start();
+  fleet.Replica("single", "east").SetMode(ReplicaMode::kHang);
+  fleet.Replica("shard-0", "east").SetMode(ReplicaMode::kHang);
+  fleet.Replica("shard-1", "east").SetMode(ReplicaMode::kHang);
+  std::vector<std::pair<std::string, std::unique_ptr<RawCaller>>> callers;
+  for (const char* target : {"/one/x", "/q/x"}) {
+    for (int number = 0; number < 12; ++number) {
+      const std::string id = fmt::format("{}{}", target + 1, number);
+      callers.emplace_back(id, std::make_unique<RawCaller>(fleet.CallerPort()));
+      callers.back().second->Send(
+          RawCaller::MakeRequest("GET", target, id, "", 18'000));
+    }
+  }
+  std::this_thread::sleep_for(Milliseconds(100));
+  fleet.Process(0).Signal(SIGTERM);
+  std::size_t executed = 0;
+  for (const auto& [id, caller] : callers) {
+    const auto reply = caller->Read();
+    INFO(id << " " << caller->LastProblem());
+    REQUIRE(reply.has_value());
+    REQUIRE((reply->m_status == 502 || reply->m_status == 503));
+    if (reply->m_status == 503) {
+      REQUIRE(fleet.RunsOf(id) == 0);
+    } else {
+      ++executed;
+    }
+  }
+  REQUIRE(executed > 0);
+  REQUIRE(fleet.Process(0).WaitExit(6'000) == 0);
+}
+
 TEST_CASE("a planned stop under load answers every request that it has read") {
   GatewayFleet fleet({.m_name = "gw-stop-points",
                       .m_instance_domains = {"east", "west"},
