--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -7,7 +7,6 @@
 #include <sstream>
 
 #include "core/event.h"
-#include "core/hash.h"
 #include "core/metrics.h"
 #include "core/process_usage.h"
 #include "exchange/peer_exchange.h"
@@ -21,6 +20,7 @@
 #include "platform/wire_names.h"
 #include "published_updates.h"
 #include "routing/local_health.h"
+#include "speed_probe.h"
 
 namespace jackdawrack {
 namespace {
@@ -30,10 +30,6 @@
 /// Housekeeping turns between two looks at the settings file.
 constexpr unsigned kSettingsCheckTurns = 20;
 
-/// Steps of the work by which the instance measures its own speed; some ten
-/// microseconds of a whole core.
-constexpr std::uint64_t kSpeedProbeSteps = 2'000;
-
 /// Time for which connections wait to be accepted while nothing published is
 /// known; a caller gives a request up that is not read within a second.
 constexpr Milliseconds kLongestAcceptDelay{600};
@@ -315,14 +311,8 @@
   // Measures the speed of this instance. A slow one leaves the rotation, as its
   // callers would wait for the processor.
   void CheckSpeed() {
-    const TimePoint began = BootClock().Now();
-    std::uint64_t mixed = 1;
-    for (std::uint64_t step = 0; step < kSpeedProbeSteps; ++step) {
-      mixed = MixHash(mixed, step);
-    }
-    m_speed_probe_result = mixed;
     const bool was_slow = m_local_health.IsSlow();
-    m_local_health.Record(BootClock().Now() - began);
+    m_local_health.Record(m_speed_probe.Measure());
     if (m_local_health.IsSlow() != was_slow) {
       LogEvent(EventId::kLocalSlowness, "slow={} factor={:.1f}",
                m_local_health.IsSlow(), m_local_health.Slowness());
@@ -380,8 +370,7 @@
   boost::asio::steady_timer m_stop_timer;
   std::map<FailureDomain, std::size_t> m_instances;
   LocalHealth m_local_health;
-  /// Written so that the work of the probe is not optimized away.
-  volatile std::uint64_t m_speed_probe_result = 0;
+  SpeedProbe m_speed_probe;
   unsigned m_turn = 0;
   bool m_is_ready = false;
   bool m_is_stopping = false;
