Leave upstreams alone that say they leave or ask for a pause

A response with Server-Leaving ends new requests to that process of the upstream when its header is read, whatever its status and whether or not it is still needed. A refusal with 503 and Retry-After keeps requests from the upstream for that time and a random tenth of it more. Idle connections are closed, and requests that wait for a connection to it go elsewhere. The knowledge is kept by process (ReplicaAvailability, AvailabilityTable), so that no later record changes it, also one that was gone meanwhile. While every upstream pauses, a request is refused at once with the end of the pause as Retry-After, at most a third of the time left.

The field is not passed on to callers: the protocol names status, body and signature.

--- a/packages/daemon/src/gateway_part_settings.cpp
+++ b/packages/daemon/src/gateway_part_settings.cpp
@@ -25,6 +25,7 @@
   headers.m_expected_upstream = platform::kExpectedUpstreamHeader;
   headers.m_signature = platform::kSignatureHeader;
   headers.m_not_run = platform::kNotRunHeader;
+  headers.m_leaving = platform::kLeavingHeader;
   headers.m_part_signatures = platform::kPartSignaturesHeader;
   headers.m_missing_parts = platform::kMissingPartsHeader;
   return headers;
@@ -40,6 +41,7 @@
   gateway.m_callers = settings.m_callers;
   gateway.m_headers = PlatformHeaders();
   gateway.m_retry_budget = settings.m_retry_budget;
+  gateway.m_drain_bound = settings.m_drain_bound;
   gateway.m_max_response_bytes = settings.m_max_response_bytes;
   gateway.m_max_buffered_bytes = settings.m_max_buffered_bytes;
   gateway.m_log_sample = settings.m_log_sample;
--- a/packages/gateway/include/gateway/gateway_settings.h
+++ b/packages/gateway/include/gateway/gateway_settings.h
@@ -24,6 +24,8 @@
   Endpoint m_callers;
   HeaderNames m_headers;
   RetryBudgetSettings m_retry_budget;
+  /// Longest time for which an upstream that leaves may get requests.
+  Milliseconds m_drain_bound{3'000};
   ReplicaChoiceSettings m_replica_choice;
   /// Maximum size of the body of an upstream's response.
   std::size_t m_max_response_bytes = 2 << 20;
--- a/packages/gateway/include/gateway/header_names.h
+++ b/packages/gateway/include/gateway/header_names.h
@@ -17,6 +17,8 @@
   std::string m_signature;
   /// Present in a response if the upstream did not run the request.
   std::string m_not_run;
+  /// Has the value 1 in a response if the upstream leaves.
+  std::string m_leaving;
   /// Signatures of the parts of a merged response.
   std::string m_part_signatures;
   /// Number of shards that are missing from a merged response.
--- a/packages/gateway/src/active_request.cpp
+++ b/packages/gateway/src/active_request.cpp
@@ -12,13 +12,20 @@
 /// free.
 constexpr Milliseconds kRetryAfter{50};
 
+/// The Retry-After is at most the caller's remaining time divided by this.
+constexpr int kRetryAfterDivisor = 3;
+
 }  // namespace
 
 CallerResponse MakeNoUpstreamResponse(const RoutedRequest& request,
+                                      std::optional<TimePoint> retry_at,
                                       TimePoint now) {
   const Milliseconds left(RemainingMs(now, request.m_deadline));
+  const Milliseconds delay =
+      retry_at ? Milliseconds(RemainingMs(now, *retry_at)) : kRetryAfter;
   return MakeServiceUnavailableResponse(
-      std::min(kRetryAfter, left / 3), "No upstream can take the request now.");
+      std::min(delay, left / kRetryAfterDivisor),
+      "No upstream can take the request now.");
 }
 
 CallerResponse MakeOutcomeUnknownResponse(const RoutedRequest& request,
--- a/packages/gateway/src/active_request.h
+++ b/packages/gateway/src/active_request.h
@@ -31,9 +31,10 @@
 };
 
 /// Makes the 503 response to a request that no upstream has executed and that
-/// cannot be sent now.
+/// cannot be sent before `retry_at`, or now if that is not known.
 [[nodiscard]] CallerResponse MakeNoUpstreamResponse(
     const RoutedRequest& request,
+    std::optional<TimePoint> retry_at,
     TimePoint now);
 
 /// Makes the response to a request that may have been executed: 504 once its
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include "forwarded_request.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 
 #include "core/check.h"
 #include "request_log.h"
@@ -8,8 +9,10 @@
 namespace jackdawrack {
 namespace {
 
-// Converts the upstream's response for the caller, without hop-by-hop fields.
-CallerResponse MakeRelayedResponse(UpstreamResponse upstream_response) {
+// Converts the upstream's response for the caller, without hop-by-hop fields
+// and the notice to this instance that the upstream leaves.
+CallerResponse MakeRelayedResponse(UpstreamResponse upstream_response,
+                                   const std::string& leaving_header) {
   CallerResponse response;
   response.m_status = upstream_response.result_int();
   const auto connection_field =
@@ -17,7 +20,8 @@
   for (const auto& field : upstream_response) {
     const std::string_view name(field.name_string().data(),
                                 field.name_string().size());
-    if (!IsHopByHopField(name,
+    if (!boost::iequals(name, leaving_header) &&
+        !IsHopByHopField(name,
                          {connection_field.data(), connection_field.size()})) {
       response.AddField(name, {field.value().data(), field.value().size()});
     }
@@ -89,17 +93,19 @@
 void ForwardedRequest::FinishNow() {
   const TimePoint now = BootClock().Now();
   m_sub_request->Stop(now);
-  Respond(m_sub_request->MayHaveExecuted()
-              ? MakeOutcomeUnknownResponse(*m_request, now)
-              : MakeNoUpstreamResponse(*m_request, now));
+  Respond(
+      m_sub_request->MayHaveExecuted()
+          ? MakeOutcomeUnknownResponse(*m_request, now)
+          : MakeNoUpstreamResponse(*m_request, m_sub_request->RetryAt(), now));
 }
 
 void ForwardedRequest::OnSubRequestFinished(SubRequestResult result) {
   const TimePoint now = BootClock().Now();
   if (result.m_response) {
-    Respond(MakeRelayedResponse(std::move(*result.m_response)));
+    Respond(MakeRelayedResponse(std::move(*result.m_response),
+                                m_context.m_settings.m_headers.m_leaving));
   } else if (result.m_outcome == SubRequestOutcome::kNotExecuted) {
-    Respond(MakeNoUpstreamResponse(*m_request, now));
+    Respond(MakeNoUpstreamResponse(*m_request, m_sub_request->RetryAt(), now));
   } else {
     Respond(MakeOutcomeUnknownResponse(*m_request, now));
   }
--- a/packages/gateway/src/replica_connection_pool.cpp
+++ b/packages/gateway/src/replica_connection_pool.cpp
@@ -4,6 +4,8 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "core/random.h"
+#include "upstream_notice.h"
 
 namespace jackdawrack {
 namespace {
@@ -34,6 +36,9 @@
 constexpr Milliseconds kMinOpenBackoff{25};
 constexpr Milliseconds kMaxOpenBackoff{400};
 
+/// Resolution of the random extension of a pause.
+constexpr std::uint64_t kSpreadSteps = 1'000;
+
 Milliseconds ExpectedLatency(Proximity proximity) {
   switch (proximity) {
     case Proximity::kLocal:
@@ -52,12 +57,14 @@
     boost::asio::io_context& context,
     ReplicaRecord record,
     const boost::asio::ip::tcp::endpoint& address,
+    std::shared_ptr<ReplicaAvailability> availability,
     ReplicaConnectionPoolSettings settings,
     const UpstreamResponseRules& response_rules,
     CapacityListener on_capacity)
     : m_context(context),
       m_record(std::move(record)),
       m_address(address),
+      m_availability(std::move(availability)),
       m_settings(std::move(settings)),
       m_response_rules(response_rules),
       m_on_capacity(std::move(on_capacity)),
@@ -82,7 +89,10 @@
   candidate.m_has_free_connection =
       (has_idle_connection || CanOpenConnection(now)) &&
       m_pending_requests.size() < m_concurrency.Value();
-  candidate.m_is_usable = !m_is_retired && !m_record.m_draining;
+  const Availability availability = m_availability->At(now);
+  candidate.m_is_usable = !m_is_retired && !m_record.m_draining &&
+                          availability != Availability::kUnavailable;
+  candidate.m_is_last_resort = availability == Availability::kLastResort;
   candidate.m_proximity = m_settings.m_proximity;
   candidate.m_is_spare = m_is_spare;
   candidate.m_is_cold = now < m_cold_until;
@@ -142,11 +152,49 @@
   auto new_connection = std::make_shared<UpstreamConnection>(
       m_context, m_address, m_response_rules,
       m_settings.m_proximity == Proximity::kRemote ? kRemoteIdleTime
-                                                   : kMaxIdleTime);
+                                                   : kMaxIdleTime,
+      [weak = weak_from_this()](const auto& header) {
+        if (const auto self = weak.lock()) {
+          self->OnResponseHeader(header);
+        }
+      });
   m_connections.push_back(new_connection);
   return new_connection;
 }
 
+void ReplicaConnectionPool::OnResponseHeader(
+    const boost::beast::http::response_header<>& header) {
+  const TimePoint now = BootClock().Now();
+  const UpstreamNotice notice = ReadNotice(header, m_settings.m_leaving_header);
+  if (notice.m_is_leaving && !m_availability->IsLeaving()) {
+    LogEvent(EventId::kReplicaLeaving, "upstream={} service={} birth={}",
+             m_record.m_id.Text(), m_record.m_service.Text(),
+             m_record.m_incarnation.m_started_ms);
+    m_availability->RecordLeaving(m_settings.m_drain_bound, now);
+  }
+  if (notice.m_pause) {
+    LogEvent(EventId::kReplicaPaused, "upstream={} service={} pause_ms={}",
+             m_record.m_id.Text(), m_record.m_service.Text(),
+             notice.m_pause->count());
+    m_availability->RecordPause(
+        *notice.m_pause,
+        static_cast<double>(RandomBelow(kSpreadSteps)) / kSpreadSteps, now);
+    m_concurrency.Restart();
+    ++m_counts.m_pauses;
+  }
+  if (notice.m_is_leaving || notice.m_pause) {
+    CloseUnusedConnections();
+  }
+}
+
+void ReplicaConnectionPool::CloseUnusedConnections() {
+  for (const auto& connection : m_connections) {
+    if (connection->IsUnused()) {
+      connection->Close();
+    }
+  }
+}
+
 SentRequest ReplicaConnectionPool::Send(OutgoingRequest request,
                                         bool needs_fresh,
                                         Handler handler) {
@@ -233,6 +281,9 @@
       (!connection.HasReceivedResponse() && !request.m_is_abandoned)) {
     RecordOpenResult(result.m_status == ExchangeStatus::kCompleted, now);
   }
+  if (m_availability->At(now) != Availability::kAvailable) {
+    CloseUnusedConnections();
+  }
   std::erase_if(m_connections,
                 [](const auto& connection) { return connection->IsClosed(); });
 
--- a/packages/gateway/src/replica_connection_pool.h
+++ b/packages/gateway/src/replica_connection_pool.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "routing/concurrency_limit.h"
+#include "routing/replica_availability.h"
 #include "routing/replica_choice.h"
 #include "routing/replica_observation.h"
 #include "routing/replica_record.h"
@@ -37,12 +38,18 @@
   std::uint64_t m_answered = 0;
   std::uint64_t m_refused = 0;
   std::uint64_t m_failed = 0;
+  /// Refusals with which the replica asked for a pause.
+  std::uint64_t m_pauses = 0;
 };
 
 /// Settings of a `ReplicaConnectionPool`.
 struct ReplicaConnectionPoolSettings {
   /// Name of the header field which shows that a request did not run.
   std::string m_not_run_header;
+  /// Name of the header field with which an upstream says that it leaves.
+  std::string m_leaving_header;
+  /// Longest time for which an upstream that leaves may get requests.
+  Milliseconds m_drain_bound{0};
   Proximity m_proximity = Proximity::kRemote;
 };
 
@@ -54,11 +61,13 @@
   using Handler = UpstreamConnection::Handler;
   using CapacityListener = std::function<void()>;
 
-  /// `address` is that of the record; `on_capacity` is called when a connection
-  /// may have become free; `response_rules` outlives the pool.
+  /// `address` is that of the record; `availability` that of the process;
+  /// `on_capacity` is called when a connection may have become free;
+  /// `response_rules` outlives the pool.
   ReplicaConnectionPool(boost::asio::io_context& context,
                         ReplicaRecord record,
                         const boost::asio::ip::tcp::endpoint& address,
+                        std::shared_ptr<ReplicaAvailability> availability,
                         ReplicaConnectionPoolSettings settings,
                         const UpstreamResponseRules& response_rules,
                         CapacityListener on_capacity);
@@ -102,6 +111,11 @@
     return m_pending_requests.empty();
   }
 
+  /// What the replica has said about further requests.
+  [[nodiscard]] const ReplicaAvailability& GetAvailability() const {
+    return *m_availability;
+  }
+
   /// Exchanges since the pool was created.
   [[nodiscard]] const ExchangeCounts& Counts() const { return m_counts; }
 
@@ -119,6 +133,8 @@
 
   std::shared_ptr<UpstreamConnection> AcquireConnection(bool needs_fresh,
                                                         TimePoint now);
+  void OnResponseHeader(const boost::beast::http::response_header<>& header);
+  void CloseUnusedConnections();
   void OnExchangeEnd(std::uint64_t serial,
                      const UpstreamConnection& connection,
                      ExchangeResult result,
@@ -132,6 +148,7 @@
   boost::asio::io_context& m_context;
   ReplicaRecord m_record;
   const boost::asio::ip::tcp::endpoint m_address;
+  const std::shared_ptr<ReplicaAvailability> m_availability;
   const ReplicaConnectionPoolSettings m_settings;
   const UpstreamResponseRules& m_response_rules;
   const CapacityListener m_on_capacity;
--- a/packages/gateway/src/replica_groups.cpp
+++ b/packages/gateway/src/replica_groups.cpp
@@ -64,7 +64,22 @@
   if (!best) {
     return {};
   }
-  return ReplicaPick{m_pools[*best], m_candidates[*best].m_has_free_connection};
+  return ReplicaPick{m_pools[*best], m_candidates[*best].m_has_free_connection,
+                     m_candidates[*best].m_is_last_resort};
+}
+
+std::optional<TimePoint> ReplicaGroup::PausedUntil(TimePoint now) const {
+  std::optional<TimePoint> first_end;
+  for (const auto& pool : m_pools) {
+    const TimePoint end = pool->GetAvailability().PausedUntil();
+    if (pool->Candidate(now).m_is_usable) {
+      return std::nullopt;
+    }
+    if (now < end && pool->Candidate(end).m_is_usable) {
+      first_end = std::min(first_end.value_or(end), end);
+    }
+  }
+  return first_end;
 }
 
 void ReplicaGroup::WaitForCapacity(std::weak_ptr<void> owner,
@@ -165,11 +180,13 @@
            record.m_domain.Text());
   ReplicaConnectionPoolSettings settings;
   settings.m_not_run_header = m_settings.m_headers.m_not_run;
+  settings.m_leaving_header = m_settings.m_headers.m_leaving;
+  settings.m_drain_bound = m_settings.m_drain_bound;
   settings.m_proximity = m_settings.ProximityOf(record.m_domain);
   ReplicaGroup& group = Group(record.m_service);
   pool = std::make_shared<ReplicaConnectionPool>(
-      m_context, record, address, std::move(settings), m_response_rules,
-      [&group] { group.WakeWaiters(); });
+      m_context, record, address, m_availability.Find(record),
+      std::move(settings), m_response_rules, [&group] { group.WakeWaiters(); });
   group.Pools().push_back(pool);
 }
 
@@ -279,6 +296,7 @@
   }
   std::erase_if(m_retired_pools,
                 [](const auto& pool) { return pool->HasNoPendingRequests(); });
+  m_availability.Forget(now);
 }
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/replica_groups.h
+++ b/packages/gateway/src/replica_groups.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_settings.h"
 #include "replica_connection_pool.h"
 #include "routing/admission.h"
+#include "routing/availability_table.h"
 #include "routing/connection_share.h"
 #include "routing/published_state.h"
 #include "routing/retry_budget.h"
@@ -21,6 +22,8 @@
   /// True if a connection to the replica is free; otherwise the request has to
   /// wait for one.
   bool m_has_free_connection = false;
+  /// True if the replica leaves and there is no other one.
+  bool m_is_last_resort = false;
 
   /// The replica if the request can be sent now, otherwise null.
   [[nodiscard]] std::shared_ptr<ReplicaConnectionPool> PoolIfFree() const {
@@ -39,6 +42,10 @@
   [[nodiscard]] ReplicaPick Choose(const std::vector<UpstreamId>& tried,
                                    TimePoint now);
 
+  /// The end of the pause that ends first, if every replica that could take
+  /// requests has asked for one.
+  [[nodiscard]] std::optional<TimePoint> PausedUntil(TimePoint now) const;
+
   [[nodiscard]] RetryBudget& Budget() { return m_budget; }
   [[nodiscard]] std::vector<std::shared_ptr<ReplicaConnectionPool>>& Pools() {
     return m_pools;
@@ -137,6 +144,7 @@
   const TimePoint m_startup_ends_at;
   bool m_is_startup_over = false;
   std::unordered_map<ServiceName, std::unique_ptr<ReplicaGroup>> m_groups;
+  AvailabilityTable m_availability;
   std::map<UpstreamId, std::shared_ptr<ReplicaConnectionPool>> m_pools;
   std::vector<std::shared_ptr<ReplicaConnectionPool>> m_retired_pools;
   std::map<FailureDomain, std::size_t> m_instance_counts;
--- a/packages/gateway/src/replica_metrics.cpp
+++ b/packages/gateway/src/replica_metrics.cpp
@@ -32,11 +32,15 @@
                  "jackdawrack_upstream_in_flight{} {}\n"
                  "jackdawrack_upstream_latency_ms{} {:.3f}\n"
                  "jackdawrack_upstream_failure_share{} {:.4f}\n"
-                 "jackdawrack_upstream_takes_work{} {}\n",
+                 "jackdawrack_upstream_takes_work{} {}\n"
+                 "jackdawrack_upstream_leaving{} {}\n"
+                 "jackdawrack_upstream_pauses_total{} {}\n",
                  labels, candidate.m_in_flight, labels,
                  FloatMs(candidate.m_latency).count(), labels,
                  candidate.m_failure_share, labels,
-                 candidate.m_is_usable ? 1 : 0);
+                 candidate.m_is_usable ? 1 : 0, labels,
+                 pool.GetAvailability().IsLeaving() ? 1 : 0, labels,
+                 pool.Counts().m_pauses);
 }
 
 }  // namespace
--- a/packages/gateway/src/scatter_gather_request.cpp
+++ b/packages/gateway/src/scatter_gather_request.cpp
@@ -176,8 +176,14 @@
                   [](const auto& sub_request) {
                     return sub_request->MayHaveExecuted();
                   });
-  return may_have_executed ? MakeOutcomeUnknownResponse(*m_request, now)
-                           : MakeNoUpstreamResponse(*m_request, now);
+  if (may_have_executed) {
+    return MakeOutcomeUnknownResponse(*m_request, now);
+  }
+  std::optional<TimePoint> retry_at;
+  for (const auto& sub_request : m_sub_requests) {
+    retry_at = std::max(retry_at, sub_request->RetryAt());
+  }
+  return MakeNoUpstreamResponse(*m_request, retry_at, now);
 }
 
 void ScatterGatherRequest::StopSubRequests(TimePoint now) {
--- a/packages/gateway/src/sub_request.cpp
+++ b/packages/gateway/src/sub_request.cpp
@@ -62,11 +62,21 @@
                                                  : AttemptReason::kFirst);
     return;
   }
-  if (pick.m_pool == nullptr || HasWaitedTooLong(now)) {
+  const bool is_worth_waiting = pick.m_pool == nullptr
+                                    ? EndsSoon(m_group.PausedUntil(now))
+                                    : !HasWaitedTooLong(now);
+  if (is_worth_waiting) {
+    WaitForConnection(now);
+  } else {
     FinishWithFailure();
-    return;
   }
-  WaitForConnection(now);
+}
+
+bool SubRequest::EndsSoon(std::optional<TimePoint> pause_end) const {
+  // Other instances may be free of the pause
+  return pause_end &&
+         *pause_end <=
+             m_request->m_arrived_at + m_request->m_route->m_target_latency / 4;
 }
 
 bool SubRequest::HasWaitedTooLong(TimePoint now) const {
@@ -223,6 +233,7 @@
 }
 
 void SubRequest::FinishWithFailure() {
+  m_retry_at = m_group.PausedUntil(BootClock().Now());
   Finish({m_may_have_executed ? SubRequestOutcome::kFailed
                               : SubRequestOutcome::kNotExecuted,
           std::move(m_last_error_response)});
@@ -248,8 +259,9 @@
 }
 
 void SubRequest::TrySendHedge(TimePoint now) {
-  const auto pool = m_group.Choose(m_tried_replicas, now).PoolIfFree();
-  if (pool == nullptr) {
+  const ReplicaPick pick = m_group.Choose(m_tried_replicas, now);
+  const auto pool = pick.PoolIfFree();
+  if (pool == nullptr || pick.m_is_last_resort) {
     m_wake_at = now + kHedgeRetryDelay;
     return;
   }
--- a/packages/gateway/src/sub_request.h
+++ b/packages/gateway/src/sub_request.h
@@ -96,6 +96,10 @@
   /// Abandons all running attempts; the handler is not called afterwards.
   void Stop(TimePoint now);
 
+  /// When an upstream may take the request, if it was not executed because all
+  /// upstreams have asked for a pause.
+  [[nodiscard]] std::optional<TimePoint> RetryAt() const { return m_retry_at; }
+
   [[nodiscard]] bool IsFinished() const { return m_is_finished; }
 
   /// True if an upstream may have executed the request: it was handed to an
@@ -110,6 +114,8 @@
  private:
   void SendOrWait();
   void WaitForConnection(TimePoint now);
+  /// True if the pause of all upstreams is short enough to wait for its end.
+  [[nodiscard]] bool EndsSoon(std::optional<TimePoint> pause_end) const;
   void TrySendHedge(TimePoint now);
   [[nodiscard]] bool HasWaitedTooLong(TimePoint now) const;
   void SendTo(const std::shared_ptr<ReplicaConnectionPool>& pool,
@@ -137,6 +143,7 @@
   bool m_is_waiting = false;
   bool m_is_finished = false;
   TimePoint m_wake_at = TimePoint::max();
+  std::optional<TimePoint> m_retry_at;
   std::optional<UpstreamResponse> m_last_error_response;
 };
 
--- a/packages/gateway/src/upstream_connection.cpp
+++ b/packages/gateway/src/upstream_connection.cpp
@@ -85,11 +85,13 @@
 UpstreamConnection::UpstreamConnection(asio::io_context& context,
                                        asio::ip::tcp::endpoint endpoint,
                                        const UpstreamResponseRules& rules,
-                                       Milliseconds max_idle_time)
+                                       Milliseconds max_idle_time,
+                                       HeaderListener on_header)
     : m_socket(context),
       m_endpoint(std::move(endpoint)),
       m_rules(rules),
       m_max_idle_time(max_idle_time),
+      m_on_header(std::move(on_header)),
       m_buffer(kMaxUnparsedBytes) {}
 
 void UpstreamConnection::Send(OutgoingRequest request, Handler handler) {
@@ -198,6 +200,8 @@
         LogEvent(EventId::kLateReplyDropped, "upstream={} request={} echoed={}",
                  m_endpoint.address().to_string(), request.m_request_id,
                  std::string_view(echoed.data(), echoed.size()));
+      } else {
+        m_on_header(parser->get());
       }
       co_return is_own;
     }
--- a/packages/gateway/src/upstream_connection.h
+++ b/packages/gateway/src/upstream_connection.h
@@ -66,13 +66,17 @@
     : public std::enable_shared_from_this<UpstreamConnection> {
  public:
   using Handler = std::function<void(ExchangeResult)>;
+  using HeaderListener =
+      std::function<void(const boost::beast::http::response_header<>&)>;
 
   /// `rules` outlives the connection. After `max_idle_time` without a request
-  /// the connection is closed.
+  /// the connection is closed. `on_header` is called with the header of each
+  /// response, also of one that is no longer needed, before its body is read.
   UpstreamConnection(boost::asio::io_context& context,
                      boost::asio::ip::tcp::endpoint endpoint,
                      const UpstreamResponseRules& rules,
-                     Milliseconds max_idle_time);
+                     Milliseconds max_idle_time,
+                     HeaderListener on_header);
 
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -92,6 +96,11 @@
   /// `ExchangeStatus::kIncomplete`.
   void Close();
 
+  /// True if no request has been sent on the connection since it was last idle.
+  [[nodiscard]] bool IsUnused() const {
+    return !m_is_closed && (!m_is_busy || !m_is_connected);
+  }
+
   [[nodiscard]] bool IsIdle() const { return !m_is_busy && !m_is_closed; }
   [[nodiscard]] bool IsClosed() const { return m_is_closed; }
 
@@ -129,6 +138,7 @@
   const boost::asio::ip::tcp::endpoint m_endpoint;
   const UpstreamResponseRules& m_rules;
   const Milliseconds m_max_idle_time;
+  const HeaderListener m_on_header;
   boost::beast::flat_buffer m_buffer;
   TimePoint m_connect_deadline{};
   TimePoint m_idle_since{};
--- a/packages/routing/include/routing/concurrency_limit.h
+++ b/packages/routing/include/routing/concurrency_limit.h
@@ -39,6 +39,9 @@
   /// Lowers the limit.
   void RecordRefusal(TimePoint now);
 
+  /// Lowers the limit to its minimum.
+  void Restart() { m_limit = 1; }
+
   /// Returns the number of requests that may be in flight; at least 1.
   [[nodiscard]] std::size_t Value() const;
 
--- a/packages/routing/include/routing/replica_choice.h
+++ b/packages/routing/include/routing/replica_choice.h
@@ -22,6 +22,8 @@
 struct ReplicaCandidate {
   /// False if the replica must not get new requests.
   bool m_is_usable = true;
+  /// True if the replica may get requests only if there is no other one.
+  bool m_is_last_resort = false;
   /// True if a connection is idle or may be opened; otherwise the request has
   /// to wait.
   bool m_has_free_connection = true;
@@ -67,10 +69,11 @@
 [[nodiscard]] bool IsStalled(const ReplicaCandidate& candidate);
 
 /// Returns the index of the usable candidate with the lowest cost, or no value
-/// if none is usable. The result may have no free connection if waiting for one
-/// is expected to be faster than any alternative. Ties are resolved in favor of
-/// the first candidate at or after index `rotation` (modulo the number of
-/// candidates), so that callers can distribute requests among equal replicas.
+/// if none is usable. A last resort is chosen only if no other is usable. The
+/// result may have no free connection if waiting for one is expected to be
+/// faster than any alternative. Ties are resolved in favor of the first
+/// candidate at or after index `rotation` (modulo the number of candidates), so
+/// that callers can distribute requests among equal replicas.
 [[nodiscard]] std::optional<std::size_t> ChooseReplica(
     std::span<const ReplicaCandidate> candidates,
     const ReplicaChoiceSettings& settings,
--- a/packages/routing/src/replica_choice.cpp
+++ b/packages/routing/src/replica_choice.cpp
@@ -80,7 +80,12 @@
       continue;
     }
     const Duration cost = ExpectedCost(candidates[index], settings);
-    if (!best || cost < best_cost) {
+    const bool is_last_resort = candidates[index].m_is_last_resort;
+    const bool is_better =
+        best && (is_last_resort == candidates[*best].m_is_last_resort
+                     ? cost < best_cost
+                     : !is_last_resort);
+    if (!best || is_better) {
       best = index;
       best_cost = cost;
     }
--- a/packages/routing/tests/concurrency_limit_test.cpp
+++ b/packages/routing/tests/concurrency_limit_test.cpp
@@ -1,5 +1,6 @@
 #include "routing/concurrency_limit.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace jackdawrack {
@@ -63,5 +64,30 @@
   REQUIRE(limit.Value() == 4);
 }
 
+TEST_CASE(
+    "after a pause, hundreds of waiting callers are served step by step") {
+  // A replica of four slots that answers in 10 ms, with callers waiting
+  ManualClock clock;
+  ConcurrencyLimit limit;
+  limit.SetMaximum(40);
+  REQUIRE(limit.Value() == 40);
+  limit.Restart();
+  std::size_t waiting = 300;
+  std::size_t in_flight = 0;
+  std::size_t most_in_first_rounds = 0;
+  for (int round = 0; waiting > 0; ++round) {
+    for (; in_flight > 0; --in_flight) {
+      limit.RecordAnswer(Milliseconds(10), clock.Now());
+    }
+    in_flight = std::min(limit.Value(), waiting);
+    waiting -= in_flight;
+    if (round < 5) {
+      most_in_first_rounds = std::max(most_in_first_rounds, in_flight);
+    }
+    clock.Advance(Milliseconds(10));
+  }
+  REQUIRE(most_in_first_rounds == 1);
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/standin/include/standin/replica_standin.h
+++ b/packages/standin/include/standin/replica_standin.h
@@ -124,6 +124,9 @@
   /// Sets what mode `kRaw` sends.
   void SetRawAnswer(RawAnswer answer);
 
+  /// Adds header fields, each with its CR LF, to all answers from now on.
+  void SetExtraFields(std::string fields);
+
   /// Sends a copy of each answer from now on.
   void SetLateCopy(LateCopy copy);
 
--- a/packages/standin/src/replica_standin.cpp
+++ b/packages/standin/src/replica_standin.cpp
@@ -33,6 +33,8 @@
 using SocketPtr = std::shared_ptr<Socket>;
 using Message = http::request<http::string_body>;
 
+constexpr std::string_view kLineEnd = "\r\n";
+
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
 std::string Field(const Message& message, const char* name) {
@@ -79,6 +81,11 @@
     m_raw_answer = std::move(answer);
   }
 
+  void SetExtraFields(std::string fields) {
+    const std::lock_guard lock(m_mutex);
+    m_extra_fields = std::move(fields);
+  }
+
   void SetLateCopy(LateCopy copy) {
     const std::lock_guard lock(m_mutex);
     m_late_copy = std::move(copy);
@@ -300,7 +307,11 @@
 
   [[nodiscard]] std::string AnswerFor(const Message& message,
                                       ReplicaMode mode) const {
-    return MakeReplicaAnswer(m_settings, Field(message, "X-Request-Id"), mode);
+    std::string answer =
+        MakeReplicaAnswer(m_settings, Field(message, "X-Request-Id"), mode);
+    const std::lock_guard lock(m_mutex);
+    return answer.insert(answer.find(kLineEnd) + kLineEnd.size(),
+                         m_extra_fields);
   }
 
   const ReplicaStandinSettings m_settings;
@@ -314,6 +325,7 @@
   ReplicaMode m_mode = ReplicaMode::kAnswer;
   int m_mode_count = 0;
   RawAnswer m_raw_answer;
+  std::string m_extra_fields;
   std::optional<LateCopy> m_late_copy;
   std::vector<SeenRequest> m_seen;
   std::atomic<std::uint64_t> m_cancelled{0};
@@ -337,6 +349,10 @@
   m_impl->SetRawAnswer(std::move(answer));
 }
 
+void ReplicaStandin::SetExtraFields(std::string fields) {
+  m_impl->SetExtraFields(std::move(fields));
+}
+
 void ReplicaStandin::SetLateCopy(LateCopy copy) {
   m_impl->SetLateCopy(std::move(copy));
 }
--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -32,6 +32,9 @@
 /// once), both on service "single".
 class GatewayFleet final {
  public:
+  /// Bound on requests to an upstream that leaves.
+  static constexpr Milliseconds kDrainBound{3'000};
+
   explicit GatewayFleet(GatewayFleetSettings settings);
   ~GatewayFleet();
 
@@ -73,6 +76,9 @@
   void PublishReplica(const std::string& service,
                       const std::string& domain,
                       const std::string& state);
+  /// Publishes the record of a replica as that of a process that has just
+  /// started under the same id.
+  void RestartReplica(const std::string& service, const std::string& domain);
   /// Publishes a configuration with these services as shards of "/q/".
   void PublishConfig(std::uint64_t version,
                      const std::vector<std::string>& shards);
@@ -111,6 +117,7 @@
   std::vector<Member> m_members;
   std::uint16_t m_next_replica_place = 0;
   std::map<std::string, std::uint64_t> m_sequences;
+  std::map<std::string, std::uint64_t> m_start_times_ms;
   std::thread m_thread;
 };
 
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint16_t kFirstReplicaPlace = 100;
 constexpr int kPollMs = 10;
 constexpr unsigned kStatusOk = 200;
+constexpr std::uint64_t kFirstStartMs = 1'000;
 
 std::string ReadFile(const std::string& path) {
   std::ifstream stream(path);
@@ -102,10 +103,10 @@
       "[listen]\ncallers = {}\nreadiness = {}\npeers = {}\noperators = {}\n"
       "[store]\naddress = {}\n"
       "[bounds]\nrepeat_ratio = 0.2\nrepeat_slack = 58\nrepeat_window_s = 10\n"
-      "stable_ms = 2000\ngrace_s = 6\n",
+      "stable_ms = 2000\ngrace_s = 6\ndrain_ms = {}\n",
       instance, m_settings.m_instance_domains[instance], fmt::join(seeds, ","),
       At(place).ToText(), At(place + 1).ToText(), At(place + 2).ToText(),
-      At(place + 3).ToText(), At(kStorePlace).ToText());
+      At(place + 3).ToText(), At(kStorePlace).ToText(), kDrainBound.count());
 }
 
 void GatewayFleet::StartInstance(std::size_t instance) {
@@ -243,9 +244,18 @@
       fmt::format(
           R"({{"service":"{}","address":"{}","zone":"{}","version":"v",)"
           R"("maxConcurrency":4,"state":"{}","coldMs":0,)"
-          R"("sequence":{},"born":1000}})",
+          R"("sequence":{},"born":{}}})",
           service, Find(service, domain).m_endpoint.ToText(), domain, state,
-          ++m_sequences[id]));
+          ++m_sequences[id],
+          m_start_times_ms.emplace(id, kFirstStartMs).first->second));
+}
+
+void GatewayFleet::RestartReplica(const std::string& service,
+                                  const std::string& domain) {
+  const std::string id = ReplicaId(service, domain);
+  m_start_times_ms[id] = kFirstStartMs + ++m_sequences[id];
+  m_sequences[id] = 0;
+  PublishReplica(service, domain, "ready");
 }
 
 void GatewayFleet::PublishConfig(std::uint64_t version,
