List the store when its changes do not fit one reply

Cause: the reply to the watch was 24 MB where the client takes 16 MB; the error was taken for an outage, and the same reply was asked for again until the store had dropped its history.

Ruled out: the silence, as calls after it are answered, and the decoding.

A body over the limit is an error of its own, on which the watcher lists the store in pages. A listing that fails in this way or with 410 is retried after a delay; after 410 it was retried at once.

--- a/packages/gateway/include/gateway/store_watcher.h
+++ b/packages/gateway/include/gateway/store_watcher.h
@@ -43,7 +43,8 @@
 
 /// Keeps a `PublishedState` in sync with a store: lists the store once, then
 /// watches it for changes. Lists it again when the store no longer has the
-/// history after the last revision.
+/// history after the last revision, or when there is too much of it for one
+/// reply.
 ///
 /// `Source` provides `List(handler)` and `Watch(revision, wait, handler)`, each
 /// of which calls its handler with a `StoreResult<PublishedChanges>`.
@@ -181,11 +182,16 @@
   }
 
   void OnFailure(const LayerError<StoreErrc>& error) {
-    if (error.m_code == StoreErrc::kHistoryGone) {
+    // Listings are retried like other calls
+    if (error.m_code == StoreErrc::kHistoryGone && !m_is_listing) {
       LogEvent(EventId::kStoreHistoryGone, "revision={}", m_revision);
-      m_needs_listing = true;
       m_revision = 0;
-      CallStoreAfter(Milliseconds(0));
+      ListNow();
+      return;
+    }
+    if (error.m_code == StoreErrc::kReplyTooLarge && !m_is_listing) {
+      LogEvent(EventId::kStoreReplyTooLarge, "revision={}", m_revision);
+      ListNow();
       return;
     }
     if (!m_is_store_lost) {
@@ -199,6 +205,11 @@
     m_retry_delay = std::min(m_retry_delay * 2, m_settings.m_max_retry_delay);
   }
 
+  void ListNow() {
+    m_needs_listing = true;
+    CallStoreAfter(Milliseconds(0));
+  }
+
   void Notify(const AppliedChanges& applied) const {
     if (m_listener) {
       m_listener(applied);
--- a/packages/gateway/tests/store_watcher_test.cpp
+++ b/packages/gateway/tests/store_watcher_test.cpp
@@ -142,6 +142,33 @@
           UpstreamId("b"));
 }
 
+// Such a reply was asked for again and again until the store had dropped the
+// history.
+TEST_CASE("the store is listed if its changes do not fit one reply") {
+  WatcherFixture fixture;
+  fixture.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  fixture.Answer(MakeError(StoreErrc::kReplyTooLarge, "body limit"));
+  REQUIRE_FALSE(fixture.m_watcher.IsStoreLost());
+  REQUIRE(fixture.m_watcher.Revision() == 10);
+  fixture.Answer(MakeChanges({MakeRecord("b", 1)}, 40));
+  fixture.RunUntilNextCall();
+  REQUIRE(fixture.m_store.m_listing_count == 2);
+  REQUIRE(fixture.m_store.m_watched_from == 40);
+  REQUIRE(fixture.m_state.Directory().Records().front().m_id ==
+          UpstreamId("b"));
+}
+
+TEST_CASE("a listing that fails in any way is retried after a delay") {
+  for (const StoreErrc code :
+       {StoreErrc::kReplyTooLarge, StoreErrc::kHistoryGone}) {
+    WatcherFixture fixture;
+    fixture.Answer(MakeError(code, "listing"));
+    REQUIRE(fixture.m_watcher.IsStoreLost());
+    fixture.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+    REQUIRE_FALSE(fixture.m_watcher.IsStoreLost());
+  }
+}
+
 TEST_CASE(
     "a peer snapshot replaces a listing and is not overwritten by older data") {
   WatcherFixture fixture;
--- a/packages/net/include/net/net_error.h
+++ b/packages/net/include/net/net_error.h
@@ -12,8 +12,10 @@
   kTimeout,
   /// The connection broke after the request may have been sent.
   kConnectionLost,
-  /// The peer sent invalid HTTP or exceeded a size limit.
+  /// The peer sent invalid HTTP, or a header that exceeded a size limit.
   kMalformed,
+  /// The body exceeded the size limit.
+  kTooLarge,
 };
 
 /// A `NetErrc` with a message.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -66,6 +66,9 @@
   if (error == beast::error::timeout) {
     return MakeError(NetErrc::kTimeout, "no reply within the timeout");
   }
+  if (error == http::error::body_limit) {
+    return MakeError(NetErrc::kTooLarge, error.message());
+  }
   if (error.category() ==
           http::make_error_code(http::error::bad_value).category() &&
       error != http::error::end_of_stream &&
--- a/packages/routing/include/routing/published_change.h
+++ b/packages/routing/include/routing/published_change.h
@@ -63,6 +63,9 @@
   kHistoryGone,
   /// The reply could not be decoded.
   kMalformedReply,
+  /// The reply was longer than the client accepts; a new listing, which is read
+  /// in pages, is needed.
+  kReplyTooLarge,
 };
 
 template <typename T>
--- a/packages/standin/include/standin/store_standin.h
+++ b/packages/standin/include/standin/store_standin.h
@@ -40,6 +40,10 @@
   /// Changes how calls are answered; waiting watches end unless silent.
   void SetMode(StoreMode mode);
 
+  /// Never replies to the calls that wait now and that arrive within `time`, as
+  /// if their connections had gone silent.
+  void LoseReplies(Milliseconds time);
+
   /// Drops the history, so that watches from before get 410.
   void ForgetHistory();
 
--- a/packages/standin/src/store_standin.cpp
+++ b/packages/standin/src/store_standin.cpp
@@ -108,6 +108,17 @@
     });
   }
 
+  void LoseReplies(Milliseconds time) {
+    Post([time](Impl& self) {
+      self.m_silent_until = SteadyClock().Now() + time;
+      for (const Waiting& waiting : self.m_watches) {
+        waiting.m_timer->cancel();
+        self.m_unanswered.push_back(waiting.m_reply);
+      }
+      self.m_watches.clear();
+    });
+  }
+
   void ForgetHistory() {
     Post([](Impl& self) {
       self.m_history.clear();
@@ -151,7 +162,7 @@
 
   void Answer(const std::string& target,
               const HttpServer::ReplyCallback& reply) {
-    if (m_mode == StoreMode::kSilent) {
+    if (m_mode == StoreMode::kSilent || SteadyClock().Now() < m_silent_until) {
       m_unanswered.push_back(reply);
     } else if (m_mode == StoreMode::kRefuse) {
       reply(Status(kStatusUnavailable));
@@ -244,6 +255,7 @@
   std::uint64_t m_revision = 1;
   std::uint64_t m_forgotten = 0;
   StoreMode m_mode = StoreMode::kServe;
+  TimePoint m_silent_until{};
   std::list<Waiting> m_watches;
   std::list<HttpServer::ReplyCallback> m_unanswered;
   std::atomic<std::uint64_t> m_calls{0};
@@ -271,6 +283,10 @@
   m_impl->SetMode(mode);
 }
 
+void StoreStandin::LoseReplies(Milliseconds time) {
+  m_impl->LoseReplies(time);
+}
+
 void StoreStandin::ForgetHistory() {
   m_impl->ForgetHistory();
 }
--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -24,6 +24,8 @@
   std::vector<std::string> m_replica_domains{"east", "west"};
   int m_target_ms = 300;
   int m_timeout_ms = 1'500;
+  /// Time after a disruption within which an instance is up to date again.
+  int m_stable_ms = 2'000;
 };
 
 /// Real instances in front of stand-ins of the users' platform, on loopback.
@@ -79,9 +81,11 @@
   /// Publishes the record of a replica as that of a process that has just
   /// started under the same id.
   void RestartReplica(const std::string& service, const std::string& domain);
-  /// Publishes a configuration with these services as shards of "/q/".
+  /// Publishes a configuration with these services as shards of "/q/";
+  /// `padding_bytes` make it longer.
   void PublishConfig(std::uint64_t version,
-                     const std::vector<std::string>& shards);
+                     const std::vector<std::string>& shards,
+                     std::size_t padding_bytes = 0);
   /// Starts and publishes the replicas of one more service.
   void AddService(const std::string& service);
   /// The record that the replicas of a service hold.
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -103,10 +103,11 @@
       "[listen]\ncallers = {}\nreadiness = {}\npeers = {}\noperators = {}\n"
       "[store]\naddress = {}\n"
       "[bounds]\nrepeat_ratio = 0.2\nrepeat_slack = 58\nrepeat_window_s = 10\n"
-      "stable_ms = 2000\ngrace_s = 6\ndrain_ms = {}\n",
+      "stable_ms = {}\ngrace_s = 6\ndrain_ms = {}\n",
       instance, m_settings.m_instance_domains[instance], fmt::join(seeds, ","),
       At(place).ToText(), At(place + 1).ToText(), At(place + 2).ToText(),
-      At(place + 3).ToText(), At(kStorePlace).ToText(), kDrainBound.count());
+      At(place + 3).ToText(), At(kStorePlace).ToText(), m_settings.m_stable_ms,
+      kDrainBound.count());
 }
 
 void GatewayFleet::StartInstance(std::size_t instance) {
@@ -259,7 +260,8 @@
 }
 
 void GatewayFleet::PublishConfig(std::uint64_t version,
-                                 const std::vector<std::string>& shards) {
+                                 const std::vector<std::string>& shards,
+                                 std::size_t padding_bytes) {
   const std::string times =
       fmt::format(R"("timeoutMs":{},"targetLatencyMs":{},"maxAttempts":2)",
                   m_settings.m_timeout_ms, m_settings.m_target_ms);
@@ -280,9 +282,9 @@
           R"({{"version":{},"routes":[{},{},{}],"services":[)"
           R"({{"name":"single","healthPath":"/h","maxConnections":60}}],)"
           R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
-          R"("headerTimeoutMs":1000,"idleTimeoutMs":3000}}}})",
+          R"("headerTimeoutMs":1000,"idleTimeoutMs":3000}},"padding":"{}"}})",
           version, route("q", "safe", gather), route("one", "safe", single),
-          route("book", "unsafe", single)));
+          route("book", "unsafe", single), std::string(padding_bytes, 'p')));
 }
 
 std::size_t GatewayFleet::RunsOf(const std::string& id) const {
--- a/packages/testing/tests/gateway_state_test.cpp
+++ b/packages/testing/tests/gateway_state_test.cpp
@@ -215,7 +215,7 @@
     for (const std::size_t instance : {std::size_t{0}, std::size_t{1}}) {
       REQUIRE(Within(kApplyTime, [&] {
         RawCaller caller(fleet.CallerPort(instance));
-        const auto reply = caller.Call("GET", "/q/x", service);
+        const auto reply = caller.Call("GET", "/q/x", "probe");
         return reply && reply->Header("X-Part-Stamps").find(service) !=
                             std::string::npos;
       }));
--- a/packages/upstream/src/upstream_pool_requests.cpp
+++ b/packages/upstream/src/upstream_pool_requests.cpp
@@ -45,6 +45,7 @@
     case NetErrc::kConnectionLost:
       return MakeError(UpstreamErrc::kConnectionLost, error.m_message);
     case NetErrc::kMalformed:
+    case NetErrc::kTooLarge:
       return MakeError(UpstreamErrc::kMalformed, error.m_message);
   }
   return MakeError(UpstreamErrc::kConnectionLost, error.m_message);
