Derive the length of a watch from the bound on staleness

Cause: a watch of stableMs less a second was given up a second later, so 5 s after it was sent; but after a change it is sent 0.4 s later, and the call after a lost one 0.1 s later still.

The longest watch is stableMs less the delay after changes, the margin of the call, the longest delay before the next call and half a second for that call: 2.95 s in place of 4 s at 5 s, 20 idle calls a minute in place of 15.

--- a/packages/daemon/src/gateway_part_settings.cpp
+++ b/packages/daemon/src/gateway_part_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/boot_clock.h"
+#include "platform/store_client.h"
 #include "platform/wire_names.h"
 
 namespace jackdawrack {
@@ -18,6 +19,24 @@
 /// readers call more often.
 constexpr Milliseconds kFollowerRetryDelay{5'000};
 
+/// Shortest watch; limits the calls to the store.
+constexpr Milliseconds kMinWatch{500};
+
+/// Part of the bound on staleness for the call that follows a lost one, the
+/// decoding of its reply, and delays of the process.
+constexpr Milliseconds kRecoveryMargin{500};
+
+// The longest watch with which changes are read within `max_staleness` after
+// the connection has gone silent. The last response before that delays the
+// watch, whose failure delays the next call.
+Milliseconds LongestWatch(Milliseconds max_staleness,
+                          const StoreWatcherSettings& watcher) {
+  const Milliseconds longest_retry_delay = watcher.m_min_retry_delay * 3 / 2;
+  return std::max(kMinWatch, max_staleness - watcher.m_batch_delay -
+                                 platform::StoreClient::kWatchMargin -
+                                 longest_retry_delay - kRecoveryMargin);
+}
+
 HeaderNames PlatformHeaders() {
   HeaderNames headers;
   headers.m_request_id = platform::kRequestIdHeader;
@@ -54,8 +73,8 @@
       std::min(settings.m_drain_bound, settings.m_apply_bound);
   PublishedUpdatesSettings updates;
   updates.m_self = settings.m_id;
-  updates.m_alone.m_watch_timeout = std::max(
-      Milliseconds(1'000), settings.m_max_staleness - Milliseconds(1'000));
+  updates.m_alone.m_watch_timeout =
+      LongestWatch(settings.m_max_staleness, updates.m_alone);
   updates.m_reader.m_watch_timeout = bound / kWatchesPerBound;
   updates.m_follower = updates.m_reader;
   updates.m_follower.m_max_retry_delay = kFollowerRetryDelay;
--- a/packages/testing/tests/gateway_store_test.cpp
+++ b/packages/testing/tests/gateway_store_test.cpp
@@ -44,5 +44,27 @@
           std::string::npos);
 }
 
+// A watch that was sent just after the connections had gone silent was given up
+// too late.
+TEST_CASE(
+    "a change made while connections to the store are silent is in force in "
+    "time") {
+  GatewayFleet fleet({.m_name = "gw-store-silent", .m_stable_ms = 5'000});
+  fleet.Start();
+  fleet.AddService("next");
+  std::this_thread::sleep_for(Milliseconds(1'500));
+
+  // The watch that follows this change is lost
+  fleet.PublishReplica("single", "east", "ready");
+  std::this_thread::sleep_for(Milliseconds(20));
+  const TimePoint silent_since = SteadyClock().Now();
+  fleet.Store().LoseReplies(Milliseconds(450));
+  std::this_thread::sleep_for(Milliseconds(600));
+  fleet.PublishConfig(2, {"next"});
+  REQUIRE_FALSE(IsInForce(fleet, "next"));
+  std::this_thread::sleep_until(silent_since + Milliseconds(5'000));
+  REQUIRE(IsInForce(fleet, "next"));
+}
+
 }  // namespace
 }  // namespace jackdawrack
