Give callers no refusal that the upstream did not promise

Callers saw: a signed 408, 429 or 503 of an upstream without X-Not-Executed was passed on as it was. To a caller these statuses promise that the request has not run and never will; without the field the upstream says no such thing.

Such a response counts as a failed attempt: an idempotent request goes elsewhere, any other is answered 502, without the signature.

Test: "a refusal that does not say not run is not given to the caller" failed on the daemon before (503 for 502).

--- a/packages/gateway/src/sub_request.cpp
+++ b/packages/gateway/src/sub_request.cpp
@@ -158,11 +158,19 @@
   if (m_request->m_route->IsScattered() && EndsInsideRecord(response)) {
     return AttemptState::kFailed;
   }
-  const bool is_signed = response.find(headers.m_signature) != response.end();
   const bool is_repeatable_failure =
       status >= kFirstServerErrorStatus && m_request->IsIdempotent();
-  return is_signed && !is_repeatable_failure ? AttemptState::kAnswered
-                                             : AttemptState::kFailed;
+  return CanBeRelayed(response) && !is_repeatable_failure
+             ? AttemptState::kAnswered
+             : AttemptState::kFailed;
+}
+
+bool SubRequest::CanBeRelayed(const UpstreamResponse& response) const {
+  // Without the field that says so, the upstream does not promise that the
+  // request has not run, and neither must the response to the caller
+  const std::string& signature = m_context.m_settings.m_headers.m_signature;
+  return response.find(signature) != response.end() &&
+         !PromisesNotRun(response.result_int());
 }
 
 void SubRequest::OnAttemptEnded(std::size_t index, ExchangeResult result) {
@@ -199,9 +207,7 @@
   if (state == AttemptState::kFailed) {
     m_may_have_executed = true;
   }
-  const std::string& signature = m_context.m_settings.m_headers.m_signature;
-  if (state == AttemptState::kFailed && response &&
-      response->find(signature) != response->end()) {
+  if (state == AttemptState::kFailed && response && CanBeRelayed(*response)) {
     m_last_error_response = std::move(response);
   }
   if (!IsRunning()) {
--- a/packages/gateway/src/sub_request.h
+++ b/packages/gateway/src/sub_request.h
@@ -122,6 +122,8 @@
               AttemptReason reason);
   void OnAttemptEnded(std::size_t index, ExchangeResult result);
   [[nodiscard]] AttemptState Classify(const ExchangeResult& result) const;
+  /// True if the response may be given to the caller as it is.
+  [[nodiscard]] bool CanBeRelayed(const UpstreamResponse& response) const;
   void OnAttemptFailed(const Attempt& attempt,
                        std::optional<UpstreamResponse> response);
   void RetryOrFinish();
--- a/packages/gateway/src/upstream_response.h
+++ b/packages/gateway/src/upstream_response.h
@@ -30,6 +30,16 @@
 /// Lowest status with which an upstream reports a failure of its own.
 inline constexpr unsigned kFirstServerErrorStatus = 500;
 
+/// True for a status that tells a caller that its request has not run and never
+/// will.
+[[nodiscard]] inline bool PromisesNotRun(unsigned status) {
+  constexpr unsigned kStatusRequestTimeout = 408;
+  constexpr unsigned kStatusTooManyRequests = 429;
+  constexpr unsigned kStatusUnavailable = 503;
+  return status == kStatusRequestTimeout || status == kStatusMisdirected ||
+         status == kStatusTooManyRequests || status == kStatusUnavailable;
+}
+
 /// True if the response states that the upstream did not execute the request;
 /// `not_run_header` is the header field that states it.
 [[nodiscard]] inline bool IsRefusal(const UpstreamResponse& response,
--- a/packages/testing/tests/gateway_once_test.cpp
+++ b/packages/testing/tests/gateway_once_test.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 
 #include "testing/gateway_fleet.h"
@@ -63,6 +65,32 @@
   REQUIRE(fleet.RunsOf("d1") == 1);
 }
 
+// Such a status is a promise to the caller that nothing ran and never will.
+TEST_CASE("a refusal that does not say not run is not given to the caller") {
+  const char* status = GENERATE("408 Timeout", "429 Many", "503 Busy");
+  const char* target = GENERATE("/book/x", "/one/x");
+  GatewayFleet fleet({.m_name = "gw-false-promise"});
+  fleet.Start();
+  for (const char* domain : {"east", "west"}) {
+    ReplicaStandin& replica = fleet.Replica("single", domain);
+    replica.SetRawAnswer(
+        {fmt::format("HTTP/1.1 {}\r\nX-Request-Id: {{id}}\r\n"
+                     "X-Server-Stamp: s.{{id}}\r\nContent-Length: 0\r\n\r\n",
+                     status),
+         "",
+         {},
+         RawEnd::kOpen});
+    replica.SetMode(ReplicaMode::kRaw);
+  }
+  RawCaller caller(fleet.CallerPort());
+  const auto reply = caller.Call("POST", target, "f1", "body");
+  INFO(status << " " << target);
+  REQUIRE(reply);
+  REQUIRE(reply->m_status == 502);
+  REQUIRE(reply->Header("X-Server-Stamp").empty());
+  REQUIRE(fleet.RunsOf("f1") >= 1);
+}
+
 TEST_CASE("an address that another upstream has taken gets nothing to run") {
   GatewayFleet fleet({.m_name = "gw-misdirected"});
   fleet.Start();
