Answer a sufficient query at its deadline when the soft one is later

A query whose deadline comes before its soft one failed though it had enough parts. By reading; the test is new and was not run on the code before.

--- a/packages/routing/src/gather_progress.cpp
+++ b/packages/routing/src/gather_progress.cpp
@@ -41,8 +41,9 @@
 
 GatherDecision GatherProgress::Decide(TimePoint now) const {
   const bool has_coverage = m_answered_parts >= m_required_parts;
-  if (has_coverage &&
-      (PendingParts() == 0 || now >= m_deadlines.m_soft_deadline)) {
+  const TimePoint partial_from =
+      std::min(m_deadlines.m_soft_deadline, m_deadlines.m_final_deadline);
+  if (has_coverage && (PendingParts() == 0 || now >= partial_from)) {
     return GatherDecision::kAnswer;
   }
   if (m_answered_parts + PendingParts() < m_required_parts ||
--- a/packages/routing/tests/gather_progress_test.cpp
+++ b/packages/routing/tests/gather_progress_test.cpp
@@ -79,6 +79,19 @@
           GatherDecision::kAnswer);
 }
 
+TEST_CASE("a deadline before the soft one ends a query with what it has") {
+  const TimePoint start = ManualClock().Now();
+  GatherProgress progress(
+      4, 0.75,
+      GatherDeadlines{start + Milliseconds(300), start + Milliseconds(100)});
+  for (int part = 0; part < 3; ++part) {
+    progress.RecordAnswered();
+  }
+  REQUIRE(progress.Decide(start + Milliseconds(99)) == GatherDecision::kWait);
+  REQUIRE(progress.Decide(start + Milliseconds(100)) ==
+          GatherDecision::kAnswer);
+}
+
 TEST_CASE(
     "a merge keeps the greatest records and duplicates, not incomplete ones") {
   const std::string low(kRecordBytes, 'a');
