Find routes by host in any case

A Host in another case than the route's was answered 404 (seen by the independent review). The test is new and was not run on the code before.

--- a/packages/routing/include/routing/route_table.h
+++ b/packages/routing/include/routing/route_table.h
@@ -22,8 +22,9 @@
   [[nodiscard]] const CallerLimits& Limits() const { return m_config.m_limits; }
   [[nodiscard]] const RoutingConfig& Config() const { return m_config; }
 
-  /// Returns the route of `host` with the longest matching prefix of `path`, or
-  /// null. `path` must not contain the query component of the request target.
+  /// Returns the route of `host`, in any case, with the longest matching prefix
+  /// of `path`, or null. `path` must not contain the query component of the
+  /// request target.
   [[nodiscard]] const Route* Find(std::string_view host,
                                   std::string_view path) const;
 
@@ -39,10 +40,17 @@
  private:
   void ComputeRelativePriorities();
 
+  struct HostHash {
+    std::size_t operator()(std::string_view host) const;
+  };
+  struct HostEqual {
+    bool operator()(std::string_view a, std::string_view b) const;
+  };
   using PrefixIndex = std::unordered_map<std::string_view, const Route*>;
 
   const RoutingConfig m_config;
-  std::unordered_map<std::string_view, PrefixIndex> m_hosts;
+  std::unordered_map<std::string_view, PrefixIndex, HostHash, HostEqual>
+      m_hosts;
   std::unordered_map<ServiceName, std::uint32_t> m_connection_limits;
   /// Relative priority of each route, in configuration order.
   std::vector<std::uint32_t> m_relative_priorities;
--- a/packages/routing/src/route_table.cpp
+++ b/packages/routing/src/route_table.cpp
@@ -3,10 +3,16 @@
 #include <algorithm>
 
 #include "core/check.h"
+#include "core/hash.h"
 
 namespace jackdawrack {
 namespace {
 
+// Independent of the locale.
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
 std::vector<ServiceName> ServicesOf(const Route& route) {
   std::vector<ServiceName> services = route.m_gather.m_shards;
   for (const WeightedService& target : route.m_services) {
@@ -17,6 +23,20 @@
 
 }  // namespace
 
+std::size_t RouteTable::HostHash::operator()(std::string_view host) const {
+  std::uint64_t hash = 0;
+  for (const char c : host) {
+    hash = MixHash(hash, static_cast<std::uint64_t>(ToLower(c)));
+  }
+  return hash;
+}
+
+bool RouteTable::HostEqual::operator()(std::string_view a,
+                                       std::string_view b) const {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](char x, char y) { return ToLower(x) == ToLower(y); });
+}
+
 RouteTable::RouteTable(RoutingConfig config) : m_config(std::move(config)) {
   for (const Route& route : m_config.m_routes) {
     m_hosts[route.m_host].emplace(route.m_prefix, &route);
--- a/packages/routing/tests/route_table_test.cpp
+++ b/packages/routing/tests/route_table_test.cpp
@@ -64,5 +64,16 @@
   REQUIRE(table.RelativePriority(*table.Find("a.example", "/fetch/1")) == 0);
 }
 
+TEST_CASE("a host is found in any case, a path only in its own") {
+  RoutingConfig config;
+  config.m_routes = {MakeRoute("one", "App.Example", "/one/")};
+  const RouteTable table(config);
+  for (const char* host : {"app.example", "APP.EXAMPLE", "App.Example"}) {
+    REQUIRE(table.Find(host, "/one/x") != nullptr);
+    REQUIRE(table.Find(host, "/ONE/x") == nullptr);
+  }
+  REQUIRE(table.Find("app.examplf", "/one/x") == nullptr);
+}
+
 }  // namespace
 }  // namespace jackdawrack
