End one request by an exception, not the process or the watch

Callers saw: a header field of over 64 KB under a greater limit had no answer until the header's timeout, as the parser throws there and the exception was dropped with the coroutine.

A field of that size is answered 431. A session that ends by an exception answers 500 or closes its connection; an exchange counts as incomplete; the watcher lists the store again; the event loop goes on after a handler that throws, and periodic work is scheduled before it is done.

They are new and were not run on the code before.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -16,6 +16,7 @@
 #include "gateway_operator_api.h"
 #include "gateway_part_settings.h"
 #include "net/http_server.h"
+#include "net/run_context.h"
 #include "platform/store_client.h"
 #include "platform/wire_names.h"
 #include "published_updates.h"
@@ -96,7 +97,7 @@
   }
 
   void Run() {
-    m_context.run();
+    RunContext(m_context);
     LogEvent(EventId::kProcessStopped, "running={}",
              m_gateway.CallerConnections());
     FlushEvents();
@@ -290,8 +291,8 @@
     m_housekeeping.expires_after(kHousekeepingPeriod);
     m_housekeeping.async_wait([this](boost::system::error_code error) {
       if (!error) {
-        KeepHouse();
         ScheduleHousekeeping();
+        KeepHouse();
       }
     });
   }
--- a/packages/daemon/src/published_updates.cpp
+++ b/packages/daemon/src/published_updates.cpp
@@ -63,8 +63,8 @@
   m_step_timer.expires_after(kStepPeriod);
   m_step_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
-      ChooseSources();
       ScheduleStep();
+      ChooseSources();
     }
   });
 }
--- a/packages/gateway/include/gateway/store_watcher.h
+++ b/packages/gateway/include/gateway/store_watcher.h
@@ -7,6 +7,7 @@
 
 #include "core/boot_clock.h"
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "core/random.h"
 #include "routing/published_state.h"
 
@@ -145,10 +146,17 @@
   }
 
   void OnResult(StoreResult<PublishedChanges> result) {
-    if (result) {
-      OnChanges(result.assume_value());
-    } else {
+    if (!result) {
       OnFailure(result.error());
+      return;
+    }
+    try {
+      OnChanges(result.assume_value());
+    } catch (...) {
+      // Some of the changes may be missing
+      LogException("published changes", std::current_exception());
+      m_needs_listing = true;
+      OnFailure(MakeError(StoreErrc::kMalformedReply, "not applied"));
     }
   }
 
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -7,7 +7,6 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -15,6 +14,7 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -44,6 +44,7 @@
 constexpr unsigned kStatusBadRequest = 400;
 constexpr unsigned kStatusPayloadTooLarge = 413;
 constexpr unsigned kStatusHeaderFieldsTooLarge = 431;
+constexpr unsigned kStatusInternalError = 500;
 
 // True if a line of the header starts with a space or a tab (obsolete line
 // folding). HTTP implementations disagree on which field such a line belongs
@@ -85,10 +86,33 @@
 }
 
 void CallerSession::Start() {
+  Run(ReadRequest());
+}
+
+void CallerSession::Run(asio::awaitable<void> part) {
   asio::co_spawn(
-      m_socket.get_executor(),
-      [self = shared_from_this()] { return self->ReadRequest(); },
-      asio::detached);
+      m_socket.get_executor(), std::move(part),
+      [self = shared_from_this()](const std::exception_ptr& failure) {
+        if (failure) {
+          self->OnException(failure);
+        }
+      });
+}
+
+void CallerSession::OnException(const std::exception_ptr& failure) {
+  LogException("caller session", failure);
+  if (const auto active_request = std::move(m_active_request)) {
+    m_active_request = nullptr;
+    active_request->OnCallerDisconnected();
+  }
+  const bool is_owed_response =
+      !m_has_response &&
+      (m_state == State::kReading || m_state == State::kServing);
+  if (is_owed_response) {
+    RefuseWith(MakeLocalResponse(kStatusInternalError, "Internal error."));
+  } else {
+    Close();
+  }
 }
 
 asio::awaitable<void> CallerSession::ReadRequest() {
@@ -155,6 +179,7 @@
   // The limits may have changed while the connection was idle
   m_limits = m_request_handler.Limits();
   m_state = State::kReading;
+  m_has_response = false;
   m_timeout_at = BootClock().Now() + m_limits.m_header_timeout;
   m_parser.emplace();
   m_parser->header_limit(m_limits.m_max_header_bytes);
@@ -169,7 +194,7 @@
   }
   while (m_buffer.size() > 0 && !m_parser->is_done()) {
     const bool had_header = m_parser->is_header_done();
-    const std::size_t used = m_parser->put(m_buffer.data(), error);
+    const std::size_t used = PutBytes(error);
     m_buffer.consume(used);
     if (error == http::error::need_more) {
       error = {};
@@ -185,6 +210,16 @@
   return error;
 }
 
+std::size_t CallerSession::PutBytes(boost::system::error_code& error) {
+  try {
+    return m_parser->put(m_buffer.data(), error);
+  } catch (const std::length_error&) {
+    // The parser holds fields of at most 64 KB, whatever the limit
+    error = http::error::header_limit;
+    return 0;
+  }
+}
+
 bool CallerSession::ReserveBody() {
   if (!m_parser->is_header_done()) {
     return true;
@@ -227,19 +262,14 @@
 
 void CallerSession::OnResponse(CallerResponse response) {
   m_active_request = nullptr;
+  m_has_response = true;
   if (IsClosed()) {
     return;
   }
   const bool keep_alive = m_is_keep_alive_requested &&
                           !response.m_closes_connection &&
                           m_request_handler.AllowsKeepAlive();
-  asio::co_spawn(
-      m_socket.get_executor(),
-      [self = shared_from_this(), response = std::move(response),
-       keep_alive]() mutable {
-        return self->WriteResponse(std::move(response), keep_alive);
-      },
-      asio::detached);
+  Run(WriteResponse(std::move(response), keep_alive));
 }
 
 asio::awaitable<void> CallerSession::WriteResponse(CallerResponse response,
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -68,11 +68,16 @@
 
   enum class State : std::uint8_t { kIdle, kReading, kServing, kClosing };
 
+  /// Runs a part of the session; an exception ends the session.
+  void Run(boost::asio::awaitable<void> part);
+  void OnException(const std::exception_ptr& failure);
   boost::asio::awaitable<void> ReadRequest();
   /// Prepares for the request whose first bytes have arrived.
   void BeginRequest();
   /// Passes the bytes read so far to the parser.
   boost::system::error_code Parse();
+  /// Passes the buffered bytes to the parser once; returns how many it took.
+  std::size_t PutBytes(boost::system::error_code& error);
   /// Reserves the memory of the body that is being read; false if there is too
   /// little.
   [[nodiscard]] bool ReserveBody();
@@ -104,6 +109,8 @@
   TimePoint m_idle_since{};
   bool m_is_keep_alive_requested = false;
   bool m_is_head_request = false;
+  /// True once the response to the current request is known.
+  bool m_has_response = false;
   bool m_is_disconnect_watch_pending = false;
 };
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -49,11 +49,11 @@
       if (error) {
         return;
       }
+      ScheduleSweep();
       const TimePoint now = BootClock().Now();
       m_replicas.CloseTimedOut(now);
       m_listener.CloseTimedOut(now);
       FlushEvents();
-      ScheduleSweep();
     });
   }
 
--- a/packages/gateway/src/upstream_connection.cpp
+++ b/packages/gateway/src/upstream_connection.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -13,6 +12,7 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -105,23 +105,18 @@
        handler = std::move(handler)]() mutable {
         return self->Run(std::move(request), std::move(handler));
       },
-      asio::detached);
+      LogFailure("upstream response"));
 }
 
 asio::awaitable<void> UpstreamConnection::Run(OutgoingRequest request,
                                               Handler handler) {
   const auto self = shared_from_this();
-  const TimePoint started_at = BootClock().Now();
-  const bool is_connected = co_await Connect();
-  const Duration connect_time = BootClock().Now() - started_at;
   ExchangeResult result;
-  if (is_connected) {
-    result = co_await Exchange(request);
-  } else {
-    Close();
-    result.m_status = ExchangeStatus::kNotSent;
+  try {
+    result = co_await ConnectAndExchange(request);
+  } catch (...) {
+    LogException("upstream exchange", std::current_exception());
   }
-  result.m_connect_time = connect_time;
   m_is_busy = false;
   m_close_at.reset();
   m_idle_since = BootClock().Now();
@@ -134,6 +129,22 @@
   handler(std::move(result));
 }
 
+asio::awaitable<ExchangeResult> UpstreamConnection::ConnectAndExchange(
+    const OutgoingRequest& request) {
+  const TimePoint started_at = BootClock().Now();
+  const bool is_connected = co_await Connect();
+  const Duration connect_time = BootClock().Now() - started_at;
+  ExchangeResult result;
+  if (is_connected) {
+    result = co_await Exchange(request);
+  } else {
+    Close();
+    result.m_status = ExchangeStatus::kNotSent;
+  }
+  result.m_connect_time = connect_time;
+  co_return result;
+}
+
 asio::awaitable<bool> UpstreamConnection::Connect() {
   if (m_is_connected) {
     co_return true;
--- a/packages/gateway/src/upstream_connection.h
+++ b/packages/gateway/src/upstream_connection.h
@@ -121,6 +121,8 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   boost::asio::awaitable<void> Run(OutgoingRequest request, Handler handler);
+  boost::asio::awaitable<ExchangeResult> ConnectAndExchange(
+      const OutgoingRequest& request);
   boost::asio::awaitable<ExchangeResult> Exchange(
       const OutgoingRequest& request);
   boost::asio::awaitable<bool> Connect();
--- a/packages/gateway/tests/caller_session_test.cpp
+++ b/packages/gateway/tests/caller_session_test.cpp
@@ -51,12 +51,16 @@
       CallerHttpRequest,
       TimePoint,
       ActiveRequest::ResponseHandler on_response) override {
+    if (m_throws) {
+      throw std::runtime_error("handler");
+    }
     return std::make_shared<ImmediateRequest>(std::move(on_response),
                                               std::make_shared<bool>(false));
   }
 
   CallerLimits m_limits;
   bool m_keep_alive = false;
+  bool m_throws = false;
 };
 
 /// A session, and the caller's side of its connection.
@@ -151,6 +155,24 @@
   REQUIRE(connection.Exchange(MakePost(10, 2'000)).starts_with("HTTP/1.1 413"));
 }
 
+// The parser throws there, and the request stayed without an answer until its
+// timeout.
+TEST_CASE("a header field over 64 KB is refused, whatever the limit") {
+  CallerLimits limits;
+  limits.m_max_header_bytes = 1 << 20;
+  ConnectedSession connection(limits);
+  REQUIRE(connection.Exchange(MakePost(60'000, 1)).starts_with("HTTP/1.1 503"));
+  REQUIRE(connection.Exchange(MakePost(70'000, 1)).starts_with("HTTP/1.1 431"));
+}
+
+TEST_CASE("an exception ends a request with a response") {
+  ConnectedSession connection(CallerLimits{});
+  connection.Handler().m_throws = true;
+  const std::string reply = connection.Exchange(MakePost(10, 10));
+  REQUIRE(reply.starts_with("HTTP/1.1 500"));
+  REQUIRE(reply.find("Connection: close\r\n") != std::string::npos);
+}
+
 TEST_CASE("an idle connection is kept for the idle timeout now in force") {
   CallerLimits first;
   first.m_idle_timeout = Milliseconds(15'000);
--- a/packages/gateway/tests/store_watcher_test.cpp
+++ b/packages/gateway/tests/store_watcher_test.cpp
@@ -158,6 +158,25 @@
           UpstreamId("b"));
 }
 
+// An exception while changes were applied ended the watch for good.
+TEST_CASE("a listener that throws does not end the watch") {
+  WatcherFixture fixture;
+  int calls = 0;
+  fixture.m_watcher.OnApplied([&calls](const AppliedChanges&) {
+    if (++calls == 2) {
+      throw std::runtime_error("listener");
+    }
+  });
+  fixture.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  fixture.Answer(MakeChanges({MakeRecord("b", 1)}, 12));
+  fixture.Answer(MakeChanges({MakeRecord("b", 1), MakeRecord("c", 1)}, 14));
+  fixture.RunUntilNextCall();
+  REQUIRE(calls == 3);
+  REQUIRE(fixture.m_store.m_listing_count == 2);
+  REQUIRE(fixture.m_store.m_watched_from == 14);
+  REQUIRE_FALSE(fixture.m_watcher.IsStoreLost());
+}
+
 TEST_CASE("a listing that fails in any way is retried after a delay") {
   for (const StoreErrc code :
        {StoreErrc::kReplyTooLarge, StoreErrc::kHistoryGone}) {
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +13,7 @@
 #include <optional>
 
 #include "core/check.h"
+#include "core/exception_log.h"
 #include "net/outbound_address.h"
 #include "net/socket_options.h"
 #include "net/tcp_endpoint.h"
@@ -88,14 +88,14 @@
   void Connect(ConnectHandler handler) {
     asio::co_spawn(m_stream.get_executor(),
                    RunConnect(shared_from_this(), std::move(handler)),
-                   asio::detached);
+                   LogFailure("HTTP reply"));
   }
 
   void Send(HttpRequest request, Milliseconds timeout, ReplyHandler handler) {
     asio::co_spawn(m_stream.get_executor(),
                    RunSend(shared_from_this(), std::move(request), timeout,
                            std::move(handler)),
-                   asio::detached);
+                   LogFailure("HTTP reply"));
   }
 
   void Close() {
