Handle a stop that is asked for while the process starts

A SIGTERM that arrived before its handler was installed, while the settings were read for example, killed the process. Control signals are held back from the first instruction of main until their handlers are installed.

Test: "a stop that is asked for during the start is a planned stop" failed on the daemon before (killed by the signal).

--- /dev/null
+++ b/packages/core/include/core/stop_signals.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <csignal>
+
+namespace jackdawrack {
+
+/// The signals with which a process is controlled: stop and reload.
+[[nodiscard]] inline sigset_t ControlSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  return signals;
+}
+
+/// Holds back signals until their handlers are installed, so that one which
+/// arrives during the start is handled and does not kill the process.
+inline void BlockControlSignals() {
+  const sigset_t signals = ControlSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+/// Delivers the signals held back; to be called when the handlers are
+/// installed.
+inline void UnblockControlSignals() {
+  const sigset_t signals = ControlSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+}  // namespace jackdawrack
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "core/event.h"
+#include "core/stop_signals.h"
 #include "daemon/daemon.h"
 #include "daemon/gateway_daemon.h"
 #include "platform/wire_names.h"
@@ -80,6 +81,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  jackdawrack::BlockControlSignals();
   CLI::App app{
       "jackdawrackd: one instance of the query tier.\n"
       "Exit codes: 0 stopped as planned, 1 cannot start, 2 bad settings."};
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -6,6 +6,7 @@
 #include "core/event.h"
 #include "core/metrics.h"
 #include "core/random.h"
+#include "core/stop_signals.h"
 #include "core/worker_pool.h"
 #include "entry/entry_service.h"
 #include "fleet/control_service.h"
@@ -143,6 +144,7 @@
     boost::asio::io_context signals;
     boost::asio::signal_set set(signals, SIGTERM, SIGINT);
     set.async_wait([](auto, int) {});
+    UnblockControlSignals();
     signals.run();
     StopGracefully();
   }
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -9,6 +9,7 @@
 #include "core/event.h"
 #include "core/metrics.h"
 #include "core/process_usage.h"
+#include "core/stop_signals.h"
 #include "exchange/peer_exchange.h"
 #include "file_mark.h"
 #include "gateway/gateway.h"
@@ -77,7 +78,9 @@
                     }),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_housekeeping(m_context),
-        m_stop_timer(m_context) {}
+        m_stop_timer(m_context) {
+    UnblockControlSignals();
+  }
 
   NetResult<void> Start() {
     m_state.OnChange([this] { OnPublished(); });
--- a/packages/testing/tests/gateway_stop_test.cpp
+++ b/packages/testing/tests/gateway_stop_test.cpp
@@ -1,7 +1,10 @@
 #include <fmt/format.h>
+#include <sys/stat.h>
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 #include "testing/gateway_fleet.h"
@@ -163,6 +166,28 @@
   REQUIRE(fleet.Process(0).WaitExit(6'000) == 0);
 }
 
+// A signal before its handler was installed killed the process.
+TEST_CASE("a stop that is asked for during the start is a planned stop") {
+  GatewayFleet fleet({.m_name = "gw-stop-early"});
+  fleet.Start();
+  fleet.Process(0).Kill();
+  std::ifstream file(fleet.SettingsPath(0));
+  const std::string settings(std::istreambuf_iterator<char>(file), {});
+
+  // The process waits for its settings when the signal arrives
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string path = fleet.SettingsPath(0);
+  REQUIRE(std::filesystem::remove(path));
+  REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+  fleet.StartInstance(0);
+  std::ofstream pipe(path);
+  fleet.Process(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(100));
+  pipe << settings;
+  pipe.close();
+  REQUIRE(fleet.Process(0).WaitExit(6'000) == 0);
+}
+
 TEST_CASE("a planned stop under load answers every request that it has read") {
   GatewayFleet fleet({.m_name = "gw-stop-points",
                       .m_instance_domains = {"east", "west"},
