Forget what was learned about routes that are no longer in force

They are forgotten once no configuration in force has named the route for ten minutes. Services keep their group, as requests under way refer to it.

--- a/packages/core/include/core/metrics.h
+++ b/packages/core/include/core/metrics.h
@@ -55,11 +55,15 @@
 class MetricsRegistry final {
  public:
   /// `labels` is Prometheus text without braces, such as `customer="a"`. The
-  /// reference stays good as long as the registry.
+  /// reference stays valid until the metric is forgotten.
   Counter& CounterFor(const std::string& name, const std::string& labels = {});
   LatencyHistogram& HistogramFor(const std::string& name,
                                  const std::string& labels = {});
 
+  /// Removes all metrics whose labels begin with the label `label`, such as
+  /// `route="a"`.
+  void Forget(const std::string& label);
+
   /// All metrics in the Prometheus text format.
   [[nodiscard]] std::string ToText();
 
--- a/packages/core/src/metrics.cpp
+++ b/packages/core/src/metrics.cpp
@@ -108,6 +108,16 @@
   return *found;
 }
 
+void MetricsRegistry::Forget(const std::string& label) {
+  const auto has_label = [&label](const auto& item) {
+    const std::string& labels = item.first.m_labels;
+    return labels == label || labels.starts_with(label + ",");
+  };
+  const std::lock_guard lock(m_mutex);
+  std::erase_if(m_counters, has_label);
+  std::erase_if(m_histograms, has_label);
+}
+
 std::string MetricsRegistry::ToText() {
   const std::lock_guard lock(m_mutex);
   std::string out;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -5,7 +5,9 @@
 #include "caller_listener.h"
 #include "core/event.h"
 #include "replica_metrics.h"
+#include "request_log.h"
 #include "request_router.h"
+#include "routing/route_retention.h"
 
 namespace jackdawrack {
 namespace {
@@ -14,6 +16,9 @@
 /// to end within half a second.
 constexpr Milliseconds kSweepPeriod{100};
 
+/// Period in which routes that are no longer in force are looked for.
+constexpr std::chrono::seconds kForgetPeriod{10};
+
 /// Minimum idle time before a planned stop closes a connection: longer than a
 /// request takes to arrive from the caller, shorter than the loss bound.
 constexpr Milliseconds kMinIdleTime{150};
@@ -28,6 +33,7 @@
        MetricsRegistry& metrics)
       : m_settings(std::move(settings)),
         m_state(state),
+        m_metrics(metrics),
         m_memory(m_settings.m_max_buffered_bytes),
         m_replicas(context, m_settings, m_memory),
         m_router(GatewayContext{context, m_settings, m_replicas, m_hedge_delays,
@@ -41,7 +47,14 @@
     return m_listener.Start();
   }
 
-  void ApplyPublishedState() { m_replicas.Update(m_state); }
+  void ApplyPublishedState() {
+    m_replicas.Update(m_state);
+    if (m_state.Table() != nullptr &&
+        m_state.Table()->Version() != m_retained_version) {
+      m_retained_version = m_state.Table()->Version();
+      m_routes.Update(m_state.Table()->Config(), BootClock().Now());
+    }
+  }
 
   void ScheduleSweep() {
     m_sweep_timer.expires_after(kSweepPeriod);
@@ -53,12 +66,30 @@
       const TimePoint now = BootClock().Now();
       m_replicas.CloseTimedOut(now);
       m_listener.CloseTimedOut(now);
+      ForgetRoutes(now);
       FlushEvents();
     });
   }
 
+  void ForgetRoutes(TimePoint now) {
+    if (now < m_next_forget_at) {
+      return;
+    }
+    m_next_forget_at = now + kForgetPeriod;
+    for (const std::string& name : m_routes.TakeForgotten(now)) {
+      m_router.ForgetRoute(name);
+      m_hedge_delays.Forget(name);
+      m_metrics.Forget(RouteLabel(name));
+    }
+  }
+
   GatewaySettings m_settings;
   const PublishedState& m_state;
+  MetricsRegistry& m_metrics;
+  RouteRetention m_routes;
+  /// Version of the routes that `m_routes` was last updated with.
+  std::uint64_t m_retained_version = 0;
+  TimePoint m_next_forget_at{};
   MemoryBudget m_memory;
   ReplicaGroups m_replicas;
   HedgeDelays m_hedge_delays;
--- a/packages/gateway/src/replica_groups.cpp
+++ b/packages/gateway/src/replica_groups.cpp
@@ -149,6 +149,7 @@
   for (const ReplicaRecord& record : records) {
     ApplyRecord(record);
   }
+  m_availability.Forget(BootClock().Now());
   UpdateConnectionShares();
   for (const auto& [service, group] : m_groups) {
     group->WakeWaiters();
@@ -296,7 +297,6 @@
   }
   std::erase_if(m_retired_pools,
                 [](const auto& pool) { return pool->HasNoPendingRequests(); });
-  m_availability.Forget(now);
 }
 
 }  // namespace jackdawrack
--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -109,8 +109,7 @@
                    const FinishedRequest& finished,
                    const AttemptCounts& attempts,
                    Duration duration) {
-  const std::string route =
-      fmt::format("route=\"{}\"", finished.m_request.m_route->m_name);
+  const std::string route = RouteLabel(finished.m_request.m_route->m_name);
   MetricsRegistry& metrics = context.m_metrics;
   metrics
       .CounterFor("jackdawrack_requests_total",
@@ -134,6 +133,10 @@
 
 }  // namespace
 
+std::string RouteLabel(const std::string& route) {
+  return fmt::format("route=\"{}\"", route);
+}
+
 void RecordFinishedRequest(const GatewayContext& context,
                            const FinishedRequest& finished,
                            TimePoint now) {
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <span>
+#include <string>
 
 #include "routed_request.h"
 #include "sub_request.h"
@@ -18,6 +19,9 @@
   std::uint32_t m_missing_shards = 0;
 };
 
+/// The label with which the metrics of a route begin.
+[[nodiscard]] std::string RouteLabel(const std::string& route);
+
 /// Updates the metrics for a finished request and writes its log lines.
 /// Failures, refusals, partial responses and disconnects of callers are always
 /// logged; complete successes are logged for a sample of the request ids, which
--- a/packages/gateway/src/request_router.cpp
+++ b/packages/gateway/src/request_router.cpp
@@ -116,6 +116,11 @@
                                     : m_state.Table()->Limits();
 }
 
+void RequestRouter::ForgetRoute(const std::string& name) {
+  m_rotations.erase(name);
+  m_spent_time.Forget(name);
+}
+
 std::shared_ptr<RoutedRequest> RequestRouter::MakeRoutedRequest(
     CallerHttpRequest& http_request,
     const Route& route,
--- a/packages/gateway/src/request_router.h
+++ b/packages/gateway/src/request_router.h
@@ -27,6 +27,9 @@
       TimePoint arrived_at,
       ActiveRequest::ResponseHandler handler) override;
 
+  /// Forgets what was learned about a route that is no longer in force.
+  void ForgetRoute(const std::string& name);
+
   /// From now on connections are closed after their next response.
   void EndKeepAlive() { m_is_keep_alive_ended = true; }
 
--- a/packages/routing/include/routing/hedge_delays.h
+++ b/packages/routing/include/routing/hedge_delays.h
@@ -26,6 +26,9 @@
   /// Records the latency of an answered first attempt.
   void Record(const std::string& route, Duration latency, TimePoint now);
 
+  /// Forgets the latencies of a route.
+  void Forget(const std::string& route) { m_latencies.erase(route); }
+
   /// Returns the hedge delay for requests of the route.
   [[nodiscard]] Duration DelayFor(const std::string& route) const;
 
--- a/packages/routing/include/routing/spent_time_estimator.h
+++ b/packages/routing/include/routing/spent_time_estimator.h
@@ -21,6 +21,9 @@
   /// start.
   Duration Estimate(const Route& route, Milliseconds deadline);
 
+  /// Forgets what was seen on a route.
+  void Forget(const std::string& route) { m_longest_deadlines.erase(route); }
+
  private:
   std::unordered_map<std::string, Milliseconds> m_longest_deadlines;
 };
