--- a/packages/testing/tests/gateway_broken_answers_test.cpp
+++ b/packages/testing/tests/gateway_broken_answers_test.cpp
@@ -33,10 +33,11 @@
 // connections whose answers come twice.
 void CallBehindCopies(GatewayFleet& fleet, const std::string& name) {
   RawCaller caller(fleet.CallerPort());
+  std::string previous;
   for (int number = 0; number < 12; ++number) {
     const std::string id = fmt::format("{}-{}", name, number);
     const auto reply = caller.Call("POST", "/book/x", id, "lens");
-    INFO(id);
+    INFO(id << " " << caller.LastProblem() << ", before: " << previous);
     REQUIRE(reply.has_value());
     REQUIRE(fleet.RunsOf(id) <= 1);
     if (reply->m_status == 200) {
@@ -45,6 +46,8 @@
     } else {
       REQUIRE((reply->m_status == 502 || reply->m_status == 504));
     }
+    previous = fmt::format("{} Connection: {}", reply->m_status,
+                           reply->Header("Connection"));
     std::this_thread::sleep_for(Milliseconds(number % 4 * 20));
   }
 }
