Let the tests' caller follow "Connection: close"

"a second copy of an answer reaches no other request" failed once on: no reply to the second request of a connection. The instance had announced the end of the connection, and the test went on using it.

Callers follow the field, and so does the tests' caller now, which opens a new connection. Each request still has to be answered.

Ruled out: a cut (LOST), as nothing of the request was read, and bytes that are no answer (MIXED), as none came.

--- a/packages/testing/include/testing/raw_caller.h
+++ b/packages/testing/include/testing/raw_caller.h
@@ -31,7 +31,8 @@
     return m_last_problem;
   }
 
-  /// Sends a request with an id, and reads its reply.
+  /// Sends a request with an id, and reads its reply; on a new connection if
+  /// the last reply announced that the instance closes the old one.
   std::optional<HttpReply> Call(const std::string& method,
                                 const std::string& target,
                                 const std::string& id,
@@ -49,10 +50,15 @@
                                  int deadline_ms);
 
  private:
+  void Connect();
+
+  const std::uint16_t m_port;
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::socket m_socket;
   boost::beast::flat_buffer m_buffer;
   std::string m_last_problem;
+  /// True if the last reply had "Connection: close".
+  bool m_is_closing = false;
 };
 
 }  // namespace jackdawrack
--- a/packages/testing/src/raw_caller.cpp
+++ b/packages/testing/src/raw_caller.cpp
@@ -18,9 +18,16 @@
 
 }  // namespace
 
-RawCaller::RawCaller(std::uint16_t port) : m_socket(m_context) {
+RawCaller::RawCaller(std::uint16_t port) : m_port(port), m_socket(m_context) {
+  Connect();
+}
+
+void RawCaller::Connect() {
+  m_socket = boost::asio::ip::tcp::socket(m_context);
   m_socket.connect(boost::asio::ip::tcp::endpoint(
-      boost::asio::ip::address_v4::loopback(), port));
+      boost::asio::ip::address_v4::loopback(), m_port));
+  m_buffer.clear();
+  m_is_closing = false;
 }
 
 bool RawCaller::Send(const std::string& bytes) {
@@ -59,6 +66,7 @@
                                          std::string(field.value())});
   }
   reply.m_body = std::move(message.body());
+  m_is_closing = !message.keep_alive();
   return reply;
 }
 
@@ -82,6 +90,9 @@
                                          const std::string& id,
                                          const std::string& body,
                                          int deadline_ms) {
+  if (m_is_closing) {
+    Connect();
+  }
   Send(MakeRequest(method, target, id, body, deadline_ms));
   return Read();
 }
