Property tests of decoders, and bounds on durations of other processes

By reading: a duration in a frame between instances could overflow when it was added to a time of this process; it is limited when it is decoded, as one of the store's is refused.

--- a/packages/core/include/core/clock.h
+++ b/packages/core/include/core/clock.h
@@ -10,6 +10,11 @@
 using Duration = std::chrono::steady_clock::duration;
 using Milliseconds = std::chrono::milliseconds;
 
+/// Longest duration taken from another process; it can be added to any time of
+/// this process without an overflow.
+inline constexpr Milliseconds kMaxForeignDuration =
+    std::chrono::hours(24 * 365);
+
 /// Wall-clock milliseconds since 1970-01-01 UTC, used only between processes.
 using UnixMs = std::int64_t;
 
--- a/packages/exchange/src/message_serialization.h
+++ b/packages/exchange/src/message_serialization.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -19,12 +20,16 @@
 
 namespace jackdawrack {
 
-// Serializes a duration as a 64-bit number of milliseconds.
+// Serializes a duration as a 64-bit number of milliseconds. A received duration
+// is limited to what this process can calculate with.
 template <typename Archive>
 void SerializeDuration(Archive& archive, Milliseconds& duration) {
   std::int64_t count = duration.count();
   archive(count);
-  duration = Milliseconds(count);
+  if constexpr (Archive::is_loading::value) {
+    duration =
+        std::clamp(Milliseconds(count), Milliseconds(0), kMaxForeignDuration);
+  }
 }
 
 template <typename Archive>
--- a/packages/exchange/tests/peer_message_test.cpp
+++ b/packages/exchange/tests/peer_message_test.cpp
@@ -52,5 +52,21 @@
   }
 }
 
+// A duration from another process is added to times of this one.
+TEST_CASE("durations of a decoded message can be calculated with") {
+  for (const Milliseconds odd :
+       {Milliseconds::max(), Milliseconds::min(), Milliseconds(-1)}) {
+    PeerMessage message = MakeMessage();
+    message.m_snapshot->m_replicas[0].m_cold_time = odd;
+    message.m_snapshot->m_config.m_routes[0].m_timeout = odd;
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded);
+    const Milliseconds cold = decoded->m_snapshot->m_replicas[0].m_cold_time;
+    REQUIRE(cold >= Milliseconds(0));
+    REQUIRE(cold <= kMaxForeignDuration);
+    REQUIRE(decoded->m_snapshot->m_config.m_routes[0].m_timeout == cold);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
--- a/packages/gateway/tests/caller_session_test.cpp
+++ b/packages/gateway/tests/caller_session_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "mutation.h"
+
 namespace jackdawrack {
 namespace {
 
@@ -66,8 +68,10 @@
 /// A session, and the caller's side of its connection.
 class ConnectedSession final {
  public:
-  explicit ConnectedSession(const CallerLimits& limits)
-      : m_acceptor(
+  explicit ConnectedSession(const CallerLimits& limits,
+                            Milliseconds run_time = Milliseconds(100))
+      : m_run_time(run_time),
+        m_acceptor(
             m_context,
             asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         m_caller(m_context) {
@@ -82,7 +86,8 @@
 
   /// Sends bytes and returns what the session has sent by then.
   std::string Exchange(const std::string& bytes) {
-    asio::write(m_caller, asio::buffer(bytes));
+    boost::system::error_code ignored;
+    asio::write(m_caller, asio::buffer(bytes), ignored);
     Run();
     std::string reply(m_caller.available(), '\0');
     asio::read(m_caller, asio::buffer(reply));
@@ -91,13 +96,14 @@
 
   void Run() {
     m_context.restart();
-    m_context.run_for(Milliseconds(100));
+    m_context.run_for(m_run_time);
   }
 
   ImmediateHandler& Handler() { return m_handler; }
   CallerSession& Session() { return *m_session; }
 
  private:
+  const Milliseconds m_run_time;
   asio::io_context m_context;
   asio::ip::tcp::acceptor m_acceptor;
   asio::ip::tcp::socket m_caller;
@@ -173,6 +179,19 @@
   REQUIRE(reply.find("Connection: close\r\n") != std::string::npos);
 }
 
+TEST_CASE("any bytes of a caller are responded to, or more are waited for") {
+  const std::string chunked =
+      "POST /x HTTP/1.1\r\nHost: app.test\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n";
+  REQUIRE(rc::check([&chunked] {
+    ConnectedSession connection(CallerLimits{}, Milliseconds(3));
+    const std::string good = *rc::gen::element(MakePost(10, 20), chunked);
+    const std::string reply = connection.Exchange(DrawMutation(good));
+    RC_ASSERT(reply.empty() || reply.starts_with("HTTP/1.1 "));
+    RC_ASSERT(!reply.starts_with("HTTP/1.1 500"));
+  }));
+}
+
 TEST_CASE("an idle connection is kept for the idle timeout now in force") {
   CallerLimits first;
   first.m_idle_timeout = Milliseconds(15'000);
--- a/packages/routing/tests/gateway_file_settings_test.cpp
+++ b/packages/routing/tests/gateway_file_settings_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "mutation.h"
+
 namespace jackdawrack {
 namespace {
 
@@ -16,6 +18,28 @@
          bounds;
 }
 
+TEST_CASE("any settings file is refused with a problem or can be used") {
+  const std::string good = MakeText(
+      "repeat_ratio = 0.25\nrepeat_slack = 33.5\nrepeat_window_s = 2\n"
+      "stable_ms = 421\ngrace_s = 0.75\n");
+  REQUIRE(rc::check([&good] {
+    std::vector<IniProblem> problems;
+    const auto settings =
+        GatewayFileSettings::Parse("f.ini", DrawMutation(good), problems);
+    if (!problems.empty()) {
+      return;
+    }
+    for (const Endpoint& endpoint :
+         {settings.m_callers, settings.m_readiness, settings.m_peers,
+          settings.m_operators, settings.m_store}) {
+      RC_ASSERT(Endpoint::Parse(endpoint.ToText()) == endpoint);
+    }
+    RC_ASSERT(settings.m_retry_budget.m_ratio >= 0);
+    RC_ASSERT(settings.m_retry_budget.m_window > Milliseconds(0));
+    RC_ASSERT(settings.m_shutdown_grace_period >= Milliseconds(0));
+  }));
+}
+
 TEST_CASE("every bound may be a fraction") {
   std::vector<IniProblem> problems;
   const auto settings = GatewayFileSettings::Parse(
