--- a/packages/core/include/core/clock.h
+++ b/packages/core/include/core/clock.h
@@ -12,7 +12,7 @@
 
 /// Longest duration taken from another process; it can be added to any time of
 /// this process without an overflow.
-inline constexpr Milliseconds kMaxForeignDuration =
+inline constexpr Milliseconds kMaxReceivedDuration =
     std::chrono::hours(24 * 365);
 
 /// Wall-clock milliseconds since 1970-01-01 UTC, used only between processes.
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -4,8 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "core/control_signals.h"
 #include "core/event.h"
-#include "core/stop_signals.h"
 #include "daemon/daemon.h"
 #include "daemon/gateway_daemon.h"
 #include "platform/wire_names.h"
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -3,10 +3,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <thread>
 
+#include "core/control_signals.h"
 #include "core/event.h"
 #include "core/metrics.h"
 #include "core/random.h"
-#include "core/stop_signals.h"
 #include "core/worker_pool.h"
 #include "entry/entry_service.h"
 #include "fleet/control_service.h"
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -6,9 +6,9 @@
 #include <fstream>
 #include <sstream>
 
+#include "core/control_signals.h"
 #include "core/event.h"
 #include "core/metrics.h"
-#include "core/stop_signals.h"
 #include "exchange/peer_exchange.h"
 #include "file_mark.h"
 #include "gateway/gateway.h"
--- a/packages/exchange/src/message_serialization.h
+++ b/packages/exchange/src/message_serialization.h
@@ -28,7 +28,7 @@
   archive(count);
   if constexpr (Archive::is_loading::value) {
     duration =
-        std::clamp(Milliseconds(count), Milliseconds(0), kMaxForeignDuration);
+        std::clamp(Milliseconds(count), Milliseconds(0), kMaxReceivedDuration);
   }
 }
 
--- a/packages/exchange/tests/peer_message_test.cpp
+++ b/packages/exchange/tests/peer_message_test.cpp
@@ -63,7 +63,7 @@
     REQUIRE(decoded);
     const Milliseconds cold = decoded->m_snapshot->m_replicas[0].m_cold_time;
     REQUIRE(cold >= Milliseconds(0));
-    REQUIRE(cold <= kMaxForeignDuration);
+    REQUIRE(cold <= kMaxReceivedDuration);
     REQUIRE(decoded->m_snapshot->m_config.m_routes[0].m_timeout == cold);
   }
 }
