Log how a process ends by itself, with the lines that wait

Callers saw connections that closed without an answer as an instance ended with SIGABRT; no line told why. So a broken invariant, an exception and a damaged heap looked the same.

Events of level error are written at once, with what waits. Event 9003 names an exception that nothing handles, 9004 a fatal signal and the call stack; its handler takes no lock. Event 1011 says why an instance cannot start.

--- a/packages/core/include/core/event.h
+++ b/packages/core/include/core/event.h
@@ -35,8 +35,8 @@
 
 /// How lines leave a process that must never wait for its reader.
 struct EventOutputSettings {
-  /// Lines wait in memory until `FlushEvents`; otherwise each is written as it
-  /// comes.
+  /// Lines wait in memory until `FlushEvents` or an event of level error;
+  /// otherwise each is written as it comes.
   bool m_is_buffered = false;
   /// Bytes that may wait; lines beyond are dropped and counted.
   std::size_t m_max_waiting_bytes = 256 << 10;
@@ -54,6 +54,11 @@
 /// Writes what waits, as far as the reader takes it without blocking.
 void FlushEvents();
 
+/// Writes what waits and one more line, as far as the reader takes them without
+/// blocking. For a process that is about to end: takes no lock and may be
+/// called in a signal handler.
+void WriteLastEvent(EventId id, std::string_view text);
+
 /// Lines dropped so far, for the rate, the memory or a reader that hangs.
 [[nodiscard]] std::uint64_t DroppedEvents();
 
--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -1,6 +1,5 @@
 #include "core/event.h"
 
-#include <fmt/chrono.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -16,6 +15,9 @@
 namespace jackdawrack {
 namespace {
 
+/// Space for the line of a crash, so that none is allocated then.
+constexpr std::size_t kMaxLastLineBytes = 2'048;
+
 // Lines of one number in the current second.
 struct LineCount {
   std::int64_t m_second = 0;
@@ -24,6 +26,8 @@
 
 struct EventSink {
   std::mutex m_mutex;
+  /// True while a thread changes the sink.
+  std::atomic<bool> m_is_changing{false};
   std::string m_process = "jackdawrack";
   std::atomic<EventLevel> m_least{EventLevel::kInfo};
   EventOutputSettings m_output;
@@ -38,6 +42,22 @@
   return sink;
 }
 
+// Locks the sink for a change.
+class SinkLock final {
+ public:
+  explicit SinkLock(EventSink& sink) : m_sink(sink), m_lock(sink.m_mutex) {
+    m_sink.m_is_changing = true;
+  }
+  ~SinkLock() { m_sink.m_is_changing = false; }
+
+  SinkLock(const SinkLock&) = delete;
+  SinkLock& operator=(const SinkLock&) = delete;
+
+ private:
+  EventSink& m_sink;
+  const std::lock_guard<std::mutex> m_lock;
+};
+
 std::string_view LevelName(EventLevel level) {
   switch (level) {
     case EventLevel::kDebug:
@@ -96,16 +116,31 @@
   return ++count.m_lines <= sink.m_output.m_max_lines_per_second;
 }
 
+// Formats one line without locks or allocations of its own, since the process
+// may be about to crash.
+template <typename Output>
+Output FormatLine(Output output,
+                  const std::string& process,
+                  const EventDescription& event,
+                  std::string_view text) {
+  const auto now = std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+  const auto day = std::chrono::floor<std::chrono::days>(now);
+  const std::chrono::year_month_day date(day);
+  const std::chrono::hh_mm_ss time(now - day);
+  return fmt::format_to(
+      output, "{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z {} {} {} {} {}\n",
+      static_cast<int>(date.year()), static_cast<unsigned>(date.month()),
+      static_cast<unsigned>(date.day()), time.hours().count(),
+      time.minutes().count(), time.seconds().count(), time.subseconds().count(),
+      process, LevelName(event.m_level), static_cast<int>(event.m_id),
+      event.m_name.substr(1), text);
+}
+
 void AppendLine(EventSink& sink,
                 const EventDescription& event,
                 std::string_view text) {
-  const auto now = std::chrono::time_point_cast<Milliseconds>(
-      std::chrono::system_clock::now());
-  const auto second = std::chrono::time_point_cast<std::chrono::seconds>(now);
-  fmt::format_to(
-      std::back_inserter(sink.m_waiting), "{:%FT%T}.{:03}Z {} {} {} {} {}\n",
-      second, (now - second).count(), sink.m_process, LevelName(event.m_level),
-      static_cast<int>(event.m_id), event.m_name.substr(1), text);
+  FormatLine(std::back_inserter(sink.m_waiting), sink.m_process, event, text);
 }
 
 }  // namespace
@@ -122,7 +157,7 @@
 
 void ConfigureEvents(std::string_view process, EventLevel least) {
   EventSink& sink = Sink();
-  const std::lock_guard lock(sink.m_mutex);
+  const SinkLock lock(sink);
   sink.m_process = process;
   sink.m_least = least;
 }
@@ -133,29 +168,40 @@
 
 void ConfigureEventOutput(EventOutputSettings settings) {
   EventSink& sink = Sink();
-  const std::lock_guard lock(sink.m_mutex);
+  const SinkLock lock(sink);
   sink.m_output = settings;
 }
 
 void WriteEvent(EventId id, std::string_view text) {
   const EventDescription& event = Describe(id);
   EventSink& sink = Sink();
-  const std::lock_guard lock(sink.m_mutex);
-  if (sink.m_output.m_is_buffered &&
-      (!TakeLine(sink, id) ||
-       sink.m_waiting.size() >= sink.m_output.m_max_waiting_bytes)) {
+  const SinkLock lock(sink);
+  if (sink.m_waiting.size() >= sink.m_output.m_max_waiting_bytes ||
+      (sink.m_output.m_is_buffered && !TakeLine(sink, id))) {
     ++sink.m_dropped;
     return;
   }
   AppendLine(sink, event, text);
-  if (!sink.m_output.m_is_buffered) {
+  if (!sink.m_output.m_is_buffered || event.m_level == EventLevel::kError) {
     WriteWaiting(sink);
   }
 }
 
+void WriteLastEvent(EventId id, std::string_view text) {
+  EventSink& sink = Sink();
+  if (!sink.m_is_changing) {
+    WriteWaiting(sink);
+  }
+  fmt::basic_memory_buffer<char, kMaxLastLineBytes> line;
+  FormatLine(fmt::appender(line), sink.m_process, Describe(id), text);
+  if (IsWritable()) {
+    (void)!write(STDOUT_FILENO, line.data(), line.size());
+  }
+}
+
 void FlushEvents() {
   EventSink& sink = Sink();
-  const std::lock_guard lock(sink.m_mutex);
+  const SinkLock lock(sink);
   if (sink.m_dropped != sink.m_reported_drops &&
       sink.m_waiting.size() < sink.m_output.m_max_waiting_bytes) {
     AppendLine(sink, Describe(EventId::kEventsDropped),
@@ -167,7 +213,7 @@
 
 std::uint64_t DroppedEvents() {
   EventSink& sink = Sink();
-  const std::lock_guard lock(sink.m_mutex);
+  const SinkLock lock(sink);
   return sink.m_dropped;
 }
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "core/control_signals.h"
+#include "core/crash_log.h"
 #include "core/event.h"
 #include "daemon/daemon.h"
 #include "daemon/gateway_daemon.h"
@@ -42,13 +43,18 @@
   return std::nullopt;
 }
 
+int FailStart(std::string_view reason) {
+  jackdawrack::LogEvent(jackdawrack::EventId::kStartFailed, "reason=\"{}\"",
+                        reason);
+  return kExitCannotStart;
+}
+
 // Serves until told to stop.
 template <typename DaemonType>
 int Serve(DaemonType& daemon) {
   const auto started = daemon.Start();
   if (!started) {
-    fmt::print(stderr, "{}\n", started.error().m_message);
-    return kExitCannotStart;
+    return FailStart(started.error().m_message);
   }
   daemon.RunUntilSignal();
   return kExitOk;
@@ -78,10 +84,32 @@
   return Serve(daemon);
 }
 
+// Runs the kind of instance that the settings are for.
+int Run(const std::string& settings_path, bool only_check) {
+  const auto text = ReadFile(settings_path);
+  std::vector<jackdawrack::IniProblem> problems;
+  if (!text) {
+    problems.push_back({settings_path, "", "", "cannot be read"});
+  }
+  if (text && IsForGateway(settings_path, *text)) {
+    return RunGateway(settings_path, *text, only_check);
+  }
+  const auto settings = jackdawrack::InstanceSettings::Parse(
+      settings_path, text.value_or(""), problems);
+  if (const auto exit_code = Check(settings_path, problems, only_check)) {
+    return *exit_code;
+  }
+  jackdawrack::ConfigureEvents(settings.m_id.Text(),
+                               jackdawrack::EventLevel::kInfo);
+  jackdawrack::Daemon daemon(settings);
+  return Serve(daemon);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   jackdawrack::BlockControlSignals();
+  jackdawrack::InstallCrashLog();
   CLI::App app{
       "jackdawrackd: one instance of the query tier.\n"
       "Exit codes: 0 stopped as planned, 1 cannot start, 2 bad settings."};
@@ -98,22 +126,5 @@
     return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
   }
 
-  // Read the settings
-  const auto text = ReadFile(settings_path);
-  std::vector<jackdawrack::IniProblem> problems;
-  if (!text) {
-    problems.push_back({settings_path, "", "", "cannot be read"});
-  }
-  if (text && IsForGateway(settings_path, *text)) {
-    return RunGateway(settings_path, *text, only_check);
-  }
-  const auto settings = jackdawrack::InstanceSettings::Parse(
-      settings_path, text.value_or(""), problems);
-  if (const auto exit_code = Check(settings_path, problems, only_check)) {
-    return *exit_code;
-  }
-  jackdawrack::ConfigureEvents(settings.m_id.Text(),
-                               jackdawrack::EventLevel::kInfo);
-  jackdawrack::Daemon daemon(settings);
-  return Serve(daemon);
+  return Run(settings_path, only_check);
 }
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -210,6 +210,7 @@
   [[nodiscard]] GatewayGauges Gauges() const {
     GatewayGauges gauges;
     gauges.m_status = Status();
+    gauges.m_start_time = m_start_time;
     gauges.m_store_calls = m_store.CallCount();
     gauges.m_local_slowness = m_local_health.Slowness();
     gauges.m_is_store_reader = m_updates.Role() == StoreRole::kReader;
@@ -362,6 +363,8 @@
   bool m_is_ready = false;
   bool m_is_stopping = false;
   const TimePoint m_started = BootClock().Now();
+  const std::chrono::system_clock::time_point m_start_time =
+      std::chrono::system_clock::now();
   std::optional<ShutdownSchedule> m_shutdown;
 };
 
--- a/packages/daemon/src/gateway_gauges.h
+++ b/packages/daemon/src/gateway_gauges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -10,6 +11,7 @@
 /// The state of an instance that serves published routes, for its metrics.
 struct GatewayGauges {
   GatewayStatus m_status;
+  std::chrono::system_clock::time_point m_start_time;
   std::uint64_t m_store_calls = 0;
   /// Speed of the instance; 1 is as usual, greater is slower.
   double m_local_slowness = 1;
--- a/packages/testing/tests/gateway_log_test.cpp
+++ b/packages/testing/tests/gateway_log_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "testing/gateway_fleet.h"
 #include "testing/raw_caller.h"
@@ -76,5 +77,23 @@
   close(reader);
 }
 
+// The lines that waited to be written were lost with the process.
+TEST_CASE("an instance that aborts logs its last requests and the signal") {
+  GatewayFleet fleet({.m_name = "gw-abort-log"});
+  fleet.Start();
+  for (const char* domain : {"east", "west"}) {
+    fleet.Replica("single", domain).SetMode(ReplicaMode::kFail);
+  }
+  RawCaller caller(fleet.CallerPort());
+  REQUIRE(caller.Call("POST", "/book/x", "last-request", "body"));
+  fleet.Process(0).Signal(SIGABRT);
+  REQUIRE(fleet.Process(0).WaitExit(5'000) == -1);
+  const std::string log = fleet.LogText(0);
+  REQUIRE(log.find("4006 RequestFailed request=last-request ") !=
+          std::string::npos);
+  REQUIRE(log.find("9004 ProcessCrashed signal=6 frames=\" 0x") !=
+          std::string::npos);
+}
+
 }  // namespace
 }  // namespace jackdawrack
