Go on when the reader of the log goes away

Callers of every instance behind a log collector that restarted lost their connections: the next line after the reader had gone ended the process by SIGPIPE (status -13). Sockets are written without that signal; standard output was not. The signal is ignored now: the write fails, and lines wait up to their bound for the next reader, also where they are not buffered.

Programs that tests start no longer inherit an ignored SIGPIPE.

--- a/packages/core/include/core/control_signals.h
+++ b/packages/core/include/core/control_signals.h
@@ -21,6 +21,12 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+/// Keeps the process running when the reader of its standard output goes away:
+/// writes then fail instead.
+inline void IgnoreBrokenPipes() {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 /// Delivers the signals held back; to be called when the handlers are
 /// installed.
 inline void UnblockControlSignals() {
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -109,6 +109,7 @@
 
 int main(int argc, char** argv) {
   jackdawrack::BlockControlSignals();
+  jackdawrack::IgnoreBrokenPipes();
   jackdawrack::InstallCrashLog();
   CLI::App app{
       "jackdawrackd: one instance of the query tier.\n"
--- a/packages/testing/src/child_process.cpp
+++ b/packages/testing/src/child_process.cpp
@@ -18,6 +18,8 @@
                              std::vector<char*>& argv,
                              const std::string& log_path) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // Ignored signals are inherited
+  std::signal(SIGPIPE, SIG_DFL);
   const int log =
       open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(log, STDERR_FILENO);
--- a/packages/testing/tests/gateway_log_test.cpp
+++ b/packages/testing/tests/gateway_log_test.cpp
@@ -77,6 +77,30 @@
   close(reader);
 }
 
+// A log collector that restarted ended every instance that it read.
+TEST_CASE("an instance outlives the reader of its log") {
+  GatewayFleet fleet({.m_name = "gw-lost-reader"});
+  REQUIRE(mkfifo(fleet.LogPath(0).c_str(), 0600) == 0);
+  int reader =
+      open(fleet.LogPath(0).c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  REQUIRE(reader >= 0);
+  fleet.Start();
+  close(reader);
+  for (const char* domain : {"east", "west"}) {
+    fleet.Replica("single", domain).SetMode(ReplicaMode::kFail);
+  }
+  REQUIRE_FALSE(CallFor(fleet, Milliseconds(1'000)).empty());
+  REQUIRE_FALSE(fleet.Process(0).HasEnded());
+
+  // The next reader gets the lines that came since
+  reader = open(fleet.LogPath(0).c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  REQUIRE(reader >= 0);
+  std::this_thread::sleep_for(Milliseconds(500));
+  std::vector<char> text(kPipeBytes);
+  REQUIRE(read(reader, text.data(), text.size()) > 0);
+  close(reader);
+}
+
 // The lines that waited to be written were lost with the process.
 TEST_CASE("an instance that aborts logs its last requests and the signal") {
   GatewayFleet fleet({.m_name = "gw-abort-log"});
