An upstream without a bound on its slots is used in full

An upstream whose record says maxConcurrency gets a single connection from each instance of its own failure domain, so that requests queue at the instances while it is idle: the useful number of connections is one more than the slots, which wrapped around to zero in 32 bits and was raised to one. The sum is now of the wider type.

Found by reading for extreme numbers in records. The test failed on the code before: share 1 in place of 35.

--- a/packages/routing/src/connection_share.cpp
+++ b/packages/routing/src/connection_share.cpp
@@ -25,7 +25,8 @@
   const std::size_t instances = is_local ? fleet.m_local : fleet.m_remote;
   const double share = fraction * limits.m_max_connections /
                        static_cast<double>(std::max<std::size_t>(instances, 1));
-  const std::size_t max_useful = is_local ? limits.m_slots + 1 : limits.m_slots;
+  const std::size_t slots = limits.m_slots;
+  const std::size_t max_useful = is_local ? slots + 1 : slots;
   return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(share)),
                                  1, std::max<std::size_t>(max_useful, 1));
 }
