Limit the required parts before converting their number

A configuration with a minVersion (share of parts) far above 1 led to a conversion of a floating-point number that does not fit the integer, which is undefined. On arm64 the conversion saturates and all parts are required, as they should be; another processor may give zero, and then a single part passes for an answer. The number is now limited to the parts before it is converted.

The test stopped on the code before under -fsanitize=float-cast-overflow ("4e+10 is outside the range of representable values"); without the sanitizer it passes there on arm64.

--- a/packages/routing/src/gather_progress.cpp
+++ b/packages/routing/src/gather_progress.cpp
@@ -16,8 +16,8 @@
 
 std::uint32_t RequiredParts(std::uint32_t parts, double min_coverage) {
   const double required = std::ceil(parts * min_coverage - kRoundingTolerance);
-  return std::clamp(static_cast<std::uint32_t>(std::max(required, 1.0)), 1U,
-                    parts);
+  return static_cast<std::uint32_t>(
+      std::min(std::max(1.0, required), static_cast<double>(parts)));
 }
 
 GatherProgress::GatherProgress(std::uint32_t parts,
--- a/packages/routing/tests/gather_progress_test.cpp
+++ b/packages/routing/tests/gather_progress_test.cpp
@@ -79,6 +79,15 @@
           GatherDecision::kAnswer);
 }
 
+// The number was converted before it was limited, which is undefined for one
+// that does not fit and needs a single part on some processors.
+TEST_CASE("a share of parts beyond any number requires all of them") {
+  for (const double share : {1.5, 1e10, 1e308}) {
+    REQUIRE(RequiredParts(4, share) == 4);
+  }
+  REQUIRE(RequiredParts(4, 0.0) == 1);
+}
+
 TEST_CASE("a deadline before the soft one ends a query with what it has") {
   const TimePoint start = ManualClock().Now();
   GatherProgress progress(
