A retry window of a few milliseconds is no division by zero

With a repeat_window_s below 0.02 in the settings, which is accepted, the length of a bucket of the retry budget was rounded down to zero milliseconds, and the first request divided by it: undefined, on arm64 a window that never passes. The length is now calculated in the clock's own resolution.

The test failed on the code before: a repeat was still allowed after the window had passed, and -fsanitize=integer-divide-by-zero reported the division.

--- a/packages/routing/src/retry_budget.cpp
+++ b/packages/routing/src/retry_budget.cpp
@@ -7,9 +7,9 @@
 namespace jackdawrack {
 
 RetryBudget::Bucket& RetryBudget::AdvanceTo(TimePoint now) {
-  const auto bucket_length = m_settings.m_window / kBucketCount;
+  const Duration bucket_length = Duration(m_settings.m_window) / kBucketCount;
   m_current_index = std::max<std::int64_t>(
-      m_current_index, now.time_since_epoch() / Duration(bucket_length));
+      m_current_index, now.time_since_epoch() / bucket_length);
   Bucket& bucket =
       m_buckets[static_cast<std::size_t>(m_current_index) % m_buckets.size()];
   if (bucket.m_index != m_current_index) {
--- a/packages/routing/tests/retry_budget_test.cpp
+++ b/packages/routing/tests/retry_budget_test.cpp
@@ -123,5 +123,19 @@
   }
 }
 
+// The length of a bucket was rounded down to zero milliseconds and divided by.
+TEST_CASE(
+    "a window shorter than a millisecond a bucket passes like any other") {
+  ManualClock clock;
+  RetryBudget budget({0.2, 0, Milliseconds(1)}, clock.Now());
+  clock.Advance(Milliseconds(10));
+  for (int request = 0; request < 100; ++request) {
+    budget.RecordRequest(clock.Now());
+  }
+  REQUIRE(budget.TryTake(RepeatPurpose::kRetry, 1, clock.Now()));
+  clock.Advance(Milliseconds(2));
+  REQUIRE(!budget.TryTake(RepeatPurpose::kRetry, 1, clock.Now()));
+}
+
 }  // namespace
 }  // namespace jackdawrack
