Worker threads: a handler that throws does not end the process

Callers of the classic daemon lost every connection when one handler on a worker threw: the pool ran its context bare, and an exception that leaves a thread ends the process. The gateway already ran its context through RunContext, which logs the exception as event 9002 and goes on; it moves to core and serves both.

"a handler that throws on a worker does not end the process" failed on the code before (the child ended by std::terminate).

--- a/packages/core/src/worker_pool.cpp
+++ b/packages/core/src/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "core/worker_pool.h"
 
 #include "core/check.h"
+#include "core/run_context.h"
 
 namespace jackdawrack {
 
@@ -18,7 +19,7 @@
 void WorkerPool::Start() {
   JR_CHECK(m_threads.empty());
   for (std::size_t i = 0; i < m_thread_count; ++i) {
-    m_threads.emplace_back([this] { m_context.run(); });
+    m_threads.emplace_back([this] { RunContext(m_context); });
   }
 }
 
--- a/packages/gateway/tests/run_context_test.cpp
+++ b/packages/core/tests/run_context_test.cpp
@@ -1,4 +1,4 @@
-#include "net/run_context.h"
+#include "core/run_context.h"
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
