Listeners: an exception ends one connection, not the accept loop

An instance stayed ready and accepted nothing any more, or ended (SIGSEGV) with a planned stop. The accept loops were spawned with asio::detached, so that an exception while a session was created dropped the loop without a line. A request handler of HttpServer that threw, or a reply that could not be encoded, ended the session's coroutine before it had taken itself off the list: the count of requests stayed too high, IsQuiet and the drain of a stop never saw the end, and the next CloseIdle used a session that was gone.

A session that cannot be started is logged and dropped alone. Sessions and requests are counted by objects that end with the coroutine, however it ends; a handler that throws is answered with 500, and replies once. The peer server accepts the next connection before it starts the session.

The peer server's part has no test of its own.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -2,11 +2,11 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "net/listener.h"
 
 namespace jackdawrack {
@@ -40,14 +40,21 @@
     return;
   }
   m_is_accepting = true;
-  asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(), asio::detached);
+  asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(),
+                 [this](const std::exception_ptr& failure) {
+                   // The next call of `BeginAccepting` starts the loop again
+                   m_is_accepting = false;
+                   if (failure) {
+                     LogException("accept loop", failure);
+                   }
+                 });
 }
 
 asio::awaitable<void> CallerListener::AcceptLoop() {
   while (m_acceptor.is_open()) {
     auto [error, socket] = co_await m_acceptor.async_accept(kAwaitTuple);
     if (!error) {
-      StartSession(std::move(socket));
+      TryStartSession(std::move(socket));
       continue;
     }
     if (!m_acceptor.is_open()) {
@@ -59,6 +66,14 @@
   }
 }
 
+void CallerListener::TryStartSession(asio::ip::tcp::socket socket) {
+  try {
+    StartSession(std::move(socket));
+  } catch (...) {
+    LogException("accepted connection", std::current_exception());
+  }
+}
+
 void CallerListener::StartSession(asio::ip::tcp::socket socket) {
   m_sessions.push_back(std::make_shared<CallerSession>(
       std::move(socket), m_request_handler, m_memory));
@@ -74,7 +89,7 @@
   while (!error) {
     auto socket = m_acceptor.accept(error);
     if (!error) {
-      StartSession(std::move(socket));
+      TryStartSession(std::move(socket));
     }
   }
   m_acceptor.close(error);
--- a/packages/gateway/src/caller_listener.h
+++ b/packages/gateway/src/caller_listener.h
@@ -28,7 +28,8 @@
   /// `BeginAccepting`. The error message contains the address.
   NetResult<void> Start();
 
-  /// Starts to accept connections; further calls have no effect.
+  /// Starts to accept connections, or starts again if an exception has ended
+  /// that; has no effect while connections are accepted.
   void BeginAccepting();
 
   /// Accepts the connections in the backlog, then closes the listening socket.
@@ -52,6 +53,8 @@
 
  private:
   boost::asio::awaitable<void> AcceptLoop();
+  /// Starts a session; an exception drops that connection only.
+  void TryStartSession(boost::asio::ip::tcp::socket socket);
   void StartSession(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor m_acceptor;
--- /dev/null
+++ b/packages/gateway/tests/allocation_failure_test.cpp
@@ -0,0 +1,100 @@
+#include "caller_listener.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "failing_allocations.h"
+
+namespace jackdawrack {
+namespace {
+
+namespace asio = boost::asio;
+
+/// More allocations than one connection and its first request take.
+constexpr int kLastFailure = 60;
+
+constexpr Milliseconds kRunTime{20};
+
+class RefusingHandler final : public CallerRequestHandler {
+ public:
+  [[nodiscard]] CallerLimits Limits() const override { return {}; }
+  [[nodiscard]] bool AllowsKeepAlive() const override { return false; }
+
+  std::shared_ptr<ActiveRequest> Serve(
+      CallerHttpRequest,
+      TimePoint,
+      ActiveRequest::ResponseHandler on_response) override {
+    on_response(MakeLocalResponse(503, "No replica is available."));
+    return nullptr;
+  }
+};
+
+Endpoint FreeEndpoint() {
+  asio::io_context context;
+  const asio::ip::tcp::acceptor acceptor(
+      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+void RunFor(asio::io_context& context, Milliseconds time) {
+  const TimePoint end = SteadyClock().Now() + time;
+  context.restart();
+  while (SteadyClock().Now() < end) {
+    try {
+      context.run_until(end);
+    } catch (const std::bad_alloc&) {
+      // Logged by `RunContext` in the daemon
+      continue;
+    }
+  }
+}
+
+// True if a new connection gets a response.
+bool IsServed(asio::io_context& context, const Endpoint& endpoint) {
+  asio::io_context caller_context;
+  asio::ip::tcp::socket caller(caller_context);
+  caller.connect({asio::ip::address_v4::loopback(), endpoint.m_port});
+  asio::write(caller,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  RunFor(context, kRunTime);
+  caller.non_blocking(true);
+  std::string response(256, '\0');
+  boost::system::error_code error;
+  return caller.read_some(asio::buffer(response), error) > 0;
+}
+
+// One allocation that failed while a connection was accepted ended the loop:
+// the instance stayed ready and served no further connection.
+TEST_CASE("connections are accepted after any allocation of one has failed") {
+  asio::io_context context;
+  RefusingHandler handler;
+  MemoryBudget memory(1 << 20);
+  const Endpoint endpoint = FreeEndpoint();
+  CallerListener listener(context, endpoint, handler, memory);
+  REQUIRE(listener.Start());
+  listener.BeginAccepting();
+  RunFor(context, kRunTime);
+  REQUIRE(IsServed(context, endpoint));
+  for (int failure = 0; failure < kLastFailure; ++failure) {
+    {
+      asio::io_context caller_context;
+      asio::ip::tcp::socket caller(caller_context);
+      caller.connect({asio::ip::address_v4::loopback(), endpoint.m_port});
+      asio::write(
+          caller,
+          asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+      t_allocations_until_failure = failure;
+      RunFor(context, kRunTime);
+      t_allocations_until_failure = -1;
+    }
+    listener.BeginAccepting();
+    listener.CloseTimedOut(BootClock().Now());
+    INFO("allocation " << failure);
+    REQUIRE(IsServed(context, endpoint));
+  }
+}
+
+}  // namespace
+}  // namespace jackdawrack
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -12,7 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <set>
 
-#include "core/check.h"
+#include "core/exception_log.h"
 #include "net/listener.h"
 #include "net/socket_options.h"
 
@@ -84,6 +83,14 @@
   return reply;
 }
 
+HttpReply MakeInternalErrorReply() {
+  HttpReply reply;
+  reply.m_status = 500;
+  reply.m_body =
+      R"({"error":"internal_error","message":"The request failed.","executed":"unknown"})";
+  return reply;
+}
+
 bool IsParseError(const beast::error_code& error) {
   static const auto& category =
       http::make_error_code(http::error::bad_value).category();
@@ -105,7 +112,7 @@
     auto opened = OpenListener(m_acceptor, m_settings.m_endpoint);
     if (opened) {
       asio::co_spawn(m_acceptor.get_executor(), AcceptLoop(shared_from_this()),
-                     asio::detached);
+                     LogFailure("accept loop"));
     }
     return opened;
   }
@@ -165,6 +172,58 @@
     bool m_has_request = false;
   };
 
+  // Lists a session in `m_sessions` while it exists, however the session ends.
+  class SessionListing final {
+   public:
+    SessionListing(Impl& server, Session& session)
+        : m_server(server), m_session(session) {
+      const std::lock_guard lock(m_server.m_mutex);
+      m_is_listed =
+          m_server.m_sessions.size() < m_server.m_settings.m_max_connections;
+      if (m_is_listed) {
+        m_server.m_sessions.insert(&m_session);
+      }
+    }
+
+    ~SessionListing() {
+      const std::lock_guard lock(m_server.m_mutex);
+      m_server.m_sessions.erase(&m_session);
+    }
+
+    SessionListing(const SessionListing&) = delete;
+    SessionListing& operator=(const SessionListing&) = delete;
+
+    [[nodiscard]] bool IsListed() const { return m_is_listed; }
+
+   private:
+    Impl& m_server;
+    Session& m_session;
+    bool m_is_listed = false;
+  };
+
+  // Counts a request in progress while it exists.
+  class RunningRequest final {
+   public:
+    RunningRequest(Impl& server, Session& session)
+        : m_server(server), m_session(session) {
+      m_session.m_has_request = true;
+      ++m_server.m_running_requests;
+    }
+
+    ~RunningRequest() {
+      m_server.m_last_activity = SteadyClock().Now();
+      --m_server.m_running_requests;
+      m_session.m_has_request = false;
+    }
+
+    RunningRequest(const RunningRequest&) = delete;
+    RunningRequest& operator=(const RunningRequest&) = delete;
+
+   private:
+    Impl& m_server;
+    Session& m_session;
+  };
+
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<Impl> self) {
     while (!self->m_stopping) {
       auto [error, socket] = co_await self->m_acceptor.async_accept(
@@ -180,7 +239,7 @@
         co_await timer.async_wait(kUseAwaitableTuple);
         continue;
       }
-      self->StartSession(std::move(socket));
+      self->TryStartSession(std::move(socket));
       if (self->m_settings.m_accept_delay.count() > 0) {
         asio::steady_timer timer(self->m_acceptor.get_executor());
         timer.expires_after(self->m_settings.m_accept_delay);
@@ -198,35 +257,43 @@
       asio::ip::tcp::socket socket(asio::make_strand(m_context));
       m_acceptor.accept(socket, error);
       if (!error) {
-        StartSession(std::move(socket));
+        TryStartSession(std::move(socket));
       }
     }
     m_acceptor.close(error);
     m_listener_closed = true;
   }
 
+  // Starts a session; an exception drops that connection only.
+  void TryStartSession(asio::ip::tcp::socket socket) {
+    try {
+      StartSession(std::move(socket));
+    } catch (...) {
+      LogException("accepted connection", std::current_exception());
+    }
+  }
+
   void StartSession(asio::ip::tcp::socket socket) {
     m_last_activity = SteadyClock().Now();
     auto session = std::make_shared<Session>(std::move(socket));
-    {
-      const std::lock_guard lock(m_mutex);
-      if (m_sessions.size() >= m_settings.m_max_connections) {
-        return;
-      }
-      m_sessions.insert(session.get());
+    auto listing = std::make_unique<SessionListing>(*this, *session);
+    if (!listing->IsListed()) {
+      return;
     }
     ApplySocketOptions(session->m_stream.socket(), kUserTimeout);
     asio::co_spawn(session->m_stream.get_executor(),
-                   RunSession(shared_from_this(), session), asio::detached);
+                   RunSession(shared_from_this(), session, std::move(listing)),
+                   LogFailure("HTTP connection"));
   }
 
-  static asio::awaitable<void> RunSession(std::shared_ptr<Impl> self,
-                                          std::shared_ptr<Session> session) {
+  static asio::awaitable<void> RunSession(
+      std::shared_ptr<Impl> self,
+      std::shared_ptr<Session> session,
+      std::unique_ptr<SessionListing> listing) {
+    const auto listed_until_end = std::move(listing);
     while (co_await self->ServeRequest(*session)) {
     }
     co_await ShutDownGracefully(*session);
-    const std::lock_guard lock(self->m_mutex);
-    self->m_sessions.erase(session.get());
   }
 
   // Shuts down sending and reads until the peer closes, so that the last reply
@@ -250,13 +317,8 @@
     if (!co_await WaitForFirstByte(session)) {
       co_return false;
     }
-    session.m_has_request = true;
-    ++m_running_requests;
-    const bool keep_alive = co_await ReadAndHandle(session);
-    m_last_activity = SteadyClock().Now();
-    --m_running_requests;
-    session.m_has_request = false;
-    co_return keep_alive;
+    const RunningRequest running(*this, session);
+    co_return co_await ReadAndHandle(session);
   }
 
   asio::awaitable<bool> WaitForFirstByte(Session& session) {
@@ -300,7 +362,7 @@
         [this](auto completion, HttpRequest http_request) {
           auto shared =
               std::make_shared<decltype(completion)>(std::move(completion));
-          m_handler(std::move(http_request), [shared](HttpReply reply) {
+          CallHandler(std::move(http_request), [shared](HttpReply reply) {
             auto executor = asio::get_associated_executor(*shared);
             asio::post(executor, [shared, reply = std::move(reply)]() mutable {
               (*shared)(std::move(reply));
@@ -310,6 +372,23 @@
         asio::use_awaitable, std::move(request));
   }
 
+  // Passes a request to the handler. If it throws, which would end the
+  // coroutine without a reply, the reply is an error.
+  void CallHandler(HttpRequest request, const ReplyCallback& complete) {
+    const auto is_answered = std::make_shared<std::atomic<bool>>(false);
+    const ReplyCallback reply_once = [is_answered, complete](HttpReply reply) {
+      if (!is_answered->exchange(true)) {
+        complete(std::move(reply));
+      }
+    };
+    try {
+      m_handler(std::move(request), reply_once);
+    } catch (...) {
+      LogException("HTTP request", std::current_exception());
+      reply_once(MakeInternalErrorReply());
+    }
+  }
+
   asio::awaitable<bool> Write(Session& session,
                               HttpReply reply,
                               bool keep_alive) {
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "net/listener.h"
 #include "peer/peer_connection.h"
 
@@ -172,13 +173,22 @@
           if (!self->m_acceptor.is_open()) {
             return;
           }
+          self->Accept();
           if (!error) {
-            self->StartSession(std::move(socket));
+            self->TryStartSession(std::move(socket));
           }
-          self->Accept();
         });
   }
 
+  // Starts a session; an exception drops that connection only.
+  void TryStartSession(asio::ip::tcp::socket socket) {
+    try {
+      StartSession(std::move(socket));
+    } catch (...) {
+      LogException("accepted connection", std::current_exception());
+    }
+  }
+
   void StartSession(asio::ip::tcp::socket socket) {
     const auto executor = socket.get_executor();
     auto session = std::make_shared<PeerSession>(std::move(socket), m_self,
