HTTP client: an exchange that an exception ends passes an error to its handler

An instance read nothing from the store or its peers any more, or ended by event 9001 (condition !m_busy, SIGABRT) at its next call. Where the memory for the body of a reply is not to be had, the exception leaves the library's read operation: the coroutine is dropped, not resumed, so that its handler was never called and the client stayed busy. The same followed a request with a field that cannot be encoded. StoreWatcher and UpdateFollower wait for the handler; the next Send on the same client broke the check.

The handler is held by an object that calls it with an error if the coroutine ends without a result (posted, since the end of the context destroys coroutines too), and the mark of a running exchange ends with the coroutine.

"a reply that finds no memory fails and the next request is sent" and "a request that cannot be encoded fails and the next is sent" failed on the code before: no result, then SIGABRT with event 9001.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -78,6 +79,43 @@
   return MakeError(NetErrc::kConnectionLost, error.message());
 }
 
+// Passes the result of a coroutine to its handler. If the coroutine ends
+// without a result, as an exception ends it or leaves one of its operations,
+// the handler gets an error.
+template <typename Result>
+class Completion final {
+ public:
+  using Handler = std::function<void(Result)>;
+
+  Completion(asio::any_io_executor executor, Handler handler)
+      : m_executor(std::move(executor)), m_handler(std::move(handler)) {}
+
+  ~Completion() {
+    if (m_handler == nullptr) {
+      return;
+    }
+    try {
+      asio::post(m_executor, [handler = std::move(m_handler)] {
+        handler(MakeError(NetErrc::kConnectionLost,
+                          "an exception ended the exchange"));
+      });
+    } catch (...) {
+      LogException("HTTP result", std::current_exception());
+    }
+  }
+
+  Completion(const Completion&) = delete;
+  Completion& operator=(const Completion&) = delete;
+
+  void operator()(Result result) {
+    std::exchange(m_handler, nullptr)(std::move(result));
+  }
+
+ private:
+  asio::any_io_executor m_executor;
+  Handler m_handler;
+};
+
 }  // namespace
 
 class HttpClient::Impl final : public std::enable_shared_from_this<Impl> {
@@ -106,16 +144,42 @@
   [[nodiscard]] bool IsOpen() const { return m_open.load(); }
 
  private:
+  // Marks the client as busy. Closes the connection if the exchange ends
+  // without a result.
+  struct RunningExchange final {
+    explicit RunningExchange(Impl& client) : m_client(client) {
+      m_client.m_busy = true;
+    }
+
+    ~RunningExchange() {
+      m_client.m_busy = false;
+      if (!m_has_result) {
+        m_client.CloseNow();
+      }
+    }
+
+    RunningExchange(const RunningExchange&) = delete;
+    RunningExchange& operator=(const RunningExchange&) = delete;
+
+    Impl& m_client;
+    bool m_has_result = false;
+  };
+
   static asio::awaitable<void> RunConnect(std::shared_ptr<Impl> self,
                                           ConnectHandler handler) {
-    handler(co_await self->EnsureConnected(self->m_settings.m_connect_timeout));
+    Completion<NetResult<void>> complete(self->m_stream.get_executor(),
+                                         std::move(handler));
+    complete(
+        co_await self->EnsureConnected(self->m_settings.m_connect_timeout));
   }
 
   static asio::awaitable<void> RunSend(std::shared_ptr<Impl> self,
                                        HttpRequest request,
                                        Milliseconds timeout,
                                        ReplyHandler handler) {
-    handler(co_await self->Exchange(request, timeout));
+    Completion<NetResult<HttpReply>> complete(self->m_stream.get_executor(),
+                                              std::move(handler));
+    complete(co_await self->Exchange(request, timeout));
   }
 
   asio::awaitable<NetResult<void>> EnsureConnected(Milliseconds timeout) {
@@ -148,9 +212,9 @@
   asio::awaitable<NetResult<HttpReply>> Exchange(const HttpRequest& request,
                                                  Milliseconds timeout) {
     JR_CHECK(!m_busy);
-    m_busy = true;
+    RunningExchange running(*this);
     NetResult<HttpReply> result = co_await ExchangeOnce(request, timeout);
-    m_busy = false;
+    running.m_has_result = true;
     co_return result;
   }
 
