Peer frames: neither a second hello nor an odd range ends the process

Three things that a peer's bytes could do to an instance of the classic daemon. A second hello on a connection sent the pending requests again, and JR_CHECK(!run.m_was_sent) ended the process. The ranges of an answer were used unchecked: one that is empty or beyond the key space broke JR_CHECK(range.IsValid()) of RangeSet and QueryMerge. An exception while a frame was handled left the connection open and unread.

A second hello is refused like one of another instance, a frame with a range that is not one of keys does not decode, and a connection whose frame cannot be handled is closed, so that its calls fail and are made elsewhere.

On the code before, "a peer that sends its hello twice is refused" ended by SIGABRT, and "a frame with a range that is not one of keys is refused" and "a connection whose frame cannot be handled is closed" failed.

--- a/packages/peer/src/frame_codec.cpp
+++ b/packages/peer/src/frame_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer/frame_codec.h"
 
+#include <algorithm>
 #include <cereal/archives/binary.hpp>
 #include <cereal/archives/json.hpp>
 #include <cereal/types/string.hpp>
@@ -10,6 +11,23 @@
 #include "peer/bounded_input_archive.h"
 
 namespace jackdawrack {
+namespace {
+
+// True if all ranges of a frame are ranges of keys.
+bool HasValidRanges(const PeerFrame& frame) {
+  if (const auto* query = std::get_if<SubQuery>(&frame)) {
+    return std::all_of(query->m_ranges.begin(), query->m_ranges.end(),
+                       [](const KeyRange& range) { return range.IsValid(); });
+  }
+  if (const auto* answer = std::get_if<SubAnswer>(&frame)) {
+    return std::all_of(
+        answer->m_ranges.begin(), answer->m_ranges.end(),
+        [](const RangeAnswer& range) { return range.m_range.IsValid(); });
+  }
+  return true;
+}
+
+}  // namespace
 
 std::string BinaryCodec::Encode(const PeerFrame& frame) {
   std::ostringstream stream;
@@ -23,7 +41,7 @@
   try {
     BoundedInputArchive archive(bytes);
     archive(frame);
-    if (archive.RemainingBytes() != 0) {
+    if (archive.RemainingBytes() != 0 || !HasValidRanges(frame)) {
       return std::nullopt;
     }
   } catch (const cereal::Exception&) {
--- a/packages/peer/src/peer_connection.cpp
+++ b/packages/peer/src/peer_connection.cpp
@@ -7,6 +7,7 @@
 
 #include "core/check.h"
 #include "core/event.h"
+#include "core/exception_log.h"
 #include "net/socket_options.h"
 
 namespace jackdawrack {
@@ -91,7 +92,12 @@
     CloseSocket();
     return;
   }
-  m_on_frame(std::move(*frame));
+  try {
+    m_on_frame(std::move(*frame));
+  } catch (...) {
+    LogException("peer frame", std::current_exception());
+    CloseSocket();
+  }
   if (m_is_open) {
     ReadHeader();
   }
--- a/packages/peer/src/peer_link.cpp
+++ b/packages/peer/src/peer_link.cpp
@@ -161,8 +161,9 @@
 
 void PeerLink::HandleFrame(Hello hello) {
   // Check that the address still belongs to the target instance; after a
-  // restart, another instance may listen on it
-  if (hello.m_protocol != kPeerProtocolVersion ||
+  // restart, another instance may listen on it. A peer sends its hello once;
+  // another one would send the pending calls again.
+  if (m_is_ready || hello.m_protocol != kPeerProtocolVersion ||
       hello.m_instance != m_target.m_id) {
     LogEvent(EventId::kPeerRefused, "peer={} answered={} protocol={}",
              m_target.m_id.Text(), hello.m_instance.Text(), hello.m_protocol);
