Store watcher: what could not be applied or asked is asked for again

The path from the store already listed again in that case. A store call that threw while it was made left the mark of a scheduled call set, and the store was not called any more.

The revision of an application that failed is given back, and a call that cannot be made counts as failed, which schedules the next.

"what a peer has read and cannot be applied is asked for again" and "a store call that cannot be sent is made again" failed on the code before.

--- a/packages/gateway/include/gateway/store_watcher.h
+++ b/packages/gateway/include/gateway/store_watcher.h
@@ -107,10 +107,12 @@
     }
     const PublishedChanges changes{listing, revision};
     const std::uint64_t from_revision = m_revision;
-    m_revision = revision;
-    m_needs_listing = false;
-    m_state.ApplyListing(listing, BootClock().Now());
-    Notify({changes, from_revision, true});
+    ApplyOf("snapshot", from_revision, [&] {
+      m_revision = revision;
+      m_needs_listing = false;
+      m_state.ApplyListing(listing, BootClock().Now());
+      Notify({changes, from_revision, true});
+    });
   }
 
   /// Applies the changes after `Revision()` that another source has read;
@@ -120,12 +122,27 @@
       return;
     }
     const std::uint64_t from_revision = m_revision;
-    m_revision = changes.m_revision;
-    m_state.Apply(changes.m_changes, BootClock().Now());
-    Notify({changes, from_revision, false});
+    ApplyOf("relayed changes", from_revision, [&] {
+      m_revision = changes.m_revision;
+      m_state.Apply(changes.m_changes, BootClock().Now());
+      Notify({changes, from_revision, false});
+    });
   }
 
  private:
+  // Applies what another source has read. After an exception some of it may be
+  // missing, so that it is asked for again.
+  template <typename Work>
+  void ApplyOf(const char* source, std::uint64_t from_revision, Work work) {
+    try {
+      work();
+    } catch (...) {
+      LogException(source, std::current_exception());
+      m_revision = from_revision;
+      m_needs_listing = true;
+    }
+  }
+
   void CallStore() {
     m_is_call_scheduled = m_is_active;
     if (!m_is_active) {
@@ -135,6 +152,16 @@
       OnResult(std::move(result));
     };
     m_is_listing = m_needs_listing;
+    try {
+      SendCall(std::move(handler));
+    } catch (...) {
+      LogException("store call", std::current_exception());
+      OnFailure(MakeError(StoreErrc::kUnreachable, "not sent"));
+    }
+  }
+
+  template <typename Handler>
+  void SendCall(Handler handler) {
     if (m_is_listing) {
       m_source.List(std::move(handler));
     } else {
--- a/packages/gateway/tests/store_watcher_test.cpp
+++ b/packages/gateway/tests/store_watcher_test.cpp
@@ -20,6 +20,10 @@
   }
 
   void Watch(std::uint64_t revision, Milliseconds wait, Handler handler) {
+    if (m_failing_calls > 0) {
+      --m_failing_calls;
+      throw std::runtime_error("call");
+    }
     m_watched_from = revision;
     m_watch_timeout = wait;
     m_handler = std::move(handler);
@@ -34,6 +38,8 @@
   [[nodiscard]] bool HasPendingCall() const { return m_handler != nullptr; }
 
   int m_listing_count = 0;
+  /// Watch calls that throw.
+  int m_failing_calls = 0;
   std::optional<std::uint64_t> m_watched_from;
   Milliseconds m_watch_timeout{0};
 
@@ -220,5 +226,39 @@
           UpstreamId("here"));
 }
 
+// The revision was taken although changes were missing, which no later change
+// brought.
+TEST_CASE("what a peer has read and cannot be applied is asked for again") {
+  WatcherFixture fixture;
+  fixture.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  bool throws = true;
+  fixture.m_state.OnChange([&throws] {
+    if (throws) {
+      throw std::runtime_error("listener");
+    }
+  });
+  const PublishedChanges changes = MakeChanges({MakeRecord("b", 1)}, 12);
+  const std::vector<PublishedChange> snapshot{MakeRecord("c", 1)};
+  fixture.m_watcher.ApplyChanges(changes);
+  REQUIRE(fixture.m_watcher.Revision() == 10);
+  fixture.m_watcher.ApplySnapshot(snapshot, 14);
+  REQUIRE(fixture.m_watcher.Revision() == 10);
+  throws = false;
+  fixture.m_watcher.ApplyChanges(changes);
+  REQUIRE(fixture.m_watcher.Revision() == 12);
+  fixture.m_watcher.ApplySnapshot(snapshot, 14);
+  REQUIRE(fixture.m_watcher.Revision() == 14);
+}
+
+// The store was not called any more.
+TEST_CASE("a store call that cannot be sent is made again") {
+  WatcherFixture fixture;
+  fixture.m_store.m_failing_calls = 2;
+  fixture.Answer(MakeChanges({MakeRecord("a", 1), RoutingConfig{}}, 10));
+  fixture.RunUntilNextCall();
+  REQUIRE(fixture.m_store.m_failing_calls == 0);
+  REQUIRE(fixture.m_store.m_watched_from == 10);
+}
+
 }  // namespace
 }  // namespace jackdawrack
