Periodic work: an exception in one turn does not end the turns after it

Six timers were set again only after their work: the exchange between instances, the polls of followers, the control tick, the lease tick, the share round and the comparison of upstream pools. An exception in the work is logged as event 9002 and the instance lives on, but without that work: others take it for gone, its leases end, its view grows old, and no further line tells so.

The work runs in RunLogged, and the timer is set in any case.

--- a/packages/entry/src/share_borrower.cpp
+++ b/packages/entry/src/share_borrower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/check.h"
+#include "core/run_logged.h"
 
 namespace jackdawrack {
 namespace {
@@ -54,7 +55,7 @@
                             : kRoundInterval);
   m_timer.async_wait([self = shared_from_this()](auto error) {
     if (!error) {
-      self->RunRound();
+      RunLogged("share round", [&self] { self->RunRound(); });
       self->ScheduleRound();
     }
   });
--- a/packages/exchange/src/peer_exchange.cpp
+++ b/packages/exchange/src/peer_exchange.cpp
@@ -5,6 +5,7 @@
 #include "core/boot_clock.h"
 #include "core/event.h"
 #include "core/random.h"
+#include "core/run_logged.h"
 #include "exchange/peer_table.h"
 #include "exchange/update_relay.h"
 #include "net/http_client.h"
@@ -139,12 +140,14 @@
   }
 
   void StartExchange() {
-    m_table.IncrementHeartbeat();
-    const auto target =
-        m_table.PickTarget(RandomBelow(UINT32_MAX), BootClock().Now());
-    if (target) {
-      SendTo(*target);
-    }
+    RunLogged("exchange", [this] {
+      m_table.IncrementHeartbeat();
+      const auto target =
+          m_table.PickTarget(RandomBelow(UINT32_MAX), BootClock().Now());
+      if (target) {
+        SendTo(*target);
+      }
+    });
     ScheduleNext();
   }
 
--- a/packages/exchange/src/update_relay.cpp
+++ b/packages/exchange/src/update_relay.cpp
@@ -4,6 +4,7 @@
 
 #include "core/boot_clock.h"
 #include "core/event.h"
+#include "core/run_logged.h"
 
 namespace jackdawrack {
 namespace {
@@ -124,7 +125,7 @@
       earliest->m_answer_at - BootClock().Now(), Duration::zero()));
   m_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
-      AnswerDue();
+      RunLogged("update polls", [this] { AnswerDue(); });
       ScheduleTimer();
     }
   });
--- a/packages/fleet/src/control_service.cpp
+++ b/packages/fleet/src/control_service.cpp
@@ -10,6 +10,7 @@
 #include "control_metrics.h"
 #include "core/event.h"
 #include "core/random.h"
+#include "core/run_logged.h"
 #include "fleet/control_codec.h"
 #include "fleet/control_server.h"
 #include "policy/control_policy.h"
@@ -98,9 +99,11 @@
     if (m_is_stopped) {
       return;
     }
-    m_policy.OnTick(SteadyClock().Now());
-    ApplyDecisions();
-    PublishStatus();
+    RunLogged("control tick", [this] {
+      m_policy.OnTick(SteadyClock().Now());
+      ApplyDecisions();
+      PublishStatus();
+    });
     m_timer.expires_after(kControlTickInterval);
     m_timer.async_wait([self = shared_from_this()](auto error) {
       if (!error) {
--- a/packages/owner/src/lease_manager.cpp
+++ b/packages/owner/src/lease_manager.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "core/run_logged.h"
+
 namespace jackdawrack {
 namespace {
 
@@ -147,7 +149,7 @@
   m_timer.async_wait([weak = weak_from_this()](auto error) {
     const auto self = weak.lock();
     if (!error && self != nullptr) {
-      self->Tick();
+      RunLogged("lease tick", [&self] { self->Tick(); });
       self->ScheduleTick();
     }
   });
--- a/packages/owner/src/owner_service.cpp
+++ b/packages/owner/src/owner_service.cpp
@@ -2,6 +2,7 @@
 
 #include <unordered_map>
 
+#include "core/run_logged.h"
 #include "lease_manager.h"
 #include "run_request_service.h"
 #include "sub_query_run.h"
@@ -44,7 +45,9 @@
     m_reconcile_timer.async_wait([weak = weak_from_this()](auto error) {
       const auto self = weak.lock();
       if (!error && self != nullptr) {
-        self->m_upstream_table.Reconcile(self->m_view_holder.Get()->State());
+        RunLogged("upstream pools", [&self] {
+          self->m_upstream_table.Reconcile(self->m_view_holder.Get()->State());
+        });
         self->ScheduleReconcile();
       }
     });
