Routes of a peer: one without services and shards is left out

Replica records of peers are already checked where they enter the published state; routes are now, with the same event 2013.

"a route without services and shards never enters the table" failed on the code before.

--- a/packages/routing/src/published_state.cpp
+++ b/packages/routing/src/published_state.cpp
@@ -21,6 +21,18 @@
   return false;
 }
 
+// The same for routes: one without services or shards could serve no request.
+RoutingConfig WithUsableRoutes(RoutingConfig config) {
+  std::erase_if(config.m_routes, [](const Route& route) {
+    if (route.IsScattered() || !route.m_services.empty()) {
+      return false;
+    }
+    LogIgnored({"route " + route.m_name, "has neither services nor shards"});
+    return true;
+  });
+  return config;
+}
+
 }  // namespace
 
 bool PublishedState::ApplyConfig(const RoutingConfig& config) {
@@ -28,7 +40,7 @@
   if (m_table != nullptr && config.m_version <= known) {
     return false;
   }
-  m_table = std::make_shared<const RouteTable>(config);
+  m_table = std::make_shared<const RouteTable>(WithUsableRoutes(config));
   LogEvent(EventId::kRoutesApplied, "version={} previous={} routes={}",
            config.m_version, known, config.m_routes.size());
   return true;
--- a/packages/routing/tests/published_state_test.cpp
+++ b/packages/routing/tests/published_state_test.cpp
@@ -98,5 +98,25 @@
   }
 }
 
+// A request to such a route, which only a peer could send, ended the process by
+// a check.
+TEST_CASE("a route without services and shards never enters the table") {
+  ManualClock clock;
+  PublishedState state;
+  RoutingConfig config = MakeConfig(1);
+  Route route;
+  route.m_name = "none";
+  route.m_host = "app.test";
+  route.m_prefix = "/none/";
+  config.m_routes.push_back(route);
+  route.m_name = "some";
+  route.m_prefix = "/some/";
+  route.m_services = {WeightedService{ServiceName("s"), 1}};
+  config.m_routes.push_back(route);
+  state.Apply({config}, clock.Now());
+  REQUIRE(state.Table()->Find("app.test", "/none/x") == nullptr);
+  REQUIRE(state.Table()->Find("app.test", "/some/x") != nullptr);
+}
+
 }  // namespace
 }  // namespace jackdawrack
