Replicas: an exception while one is added leaves no entry without a pool

The entry of a replica was made before its pool. The pool is made first now, and enters both lists or none. An address that cannot be converted is ignored with event 2013 in place of JR_CHECK(!error); PublishedState refuses such records before.

"a replica is used after any allocation of its start has failed" ended by SIGSEGV on the code before.

--- a/packages/gateway/src/replica_groups.cpp
+++ b/packages/gateway/src/replica_groups.cpp
@@ -159,8 +159,13 @@
 void ReplicaGroups::ApplyRecord(const ReplicaRecord& record) {
   boost::system::error_code error;
   const auto address = ToTcpEndpoint(record.m_endpoint, error);
-  JR_CHECK(!error);
-  auto& pool = m_pools[record.m_id];
+  if (error) {
+    LogEvent(EventId::kPublishedValueIgnored, "key={} reason=\"{}\"",
+             record.m_id.Text(), error.message());
+    return;
+  }
+  const auto known = m_pools.find(record.m_id);
+  const auto pool = known == m_pools.end() ? nullptr : known->second;
   if (pool != nullptr && !IsDifferentProcess(pool->Record(), record)) {
     if (record.m_draining && !pool->Record().m_draining) {
       LogEvent(EventId::kReplicaDraining, "upstream={}", record.m_id.Text());
@@ -185,10 +190,14 @@
   settings.m_drain_bound = m_settings.m_drain_bound;
   settings.m_proximity = m_settings.ProximityOf(record.m_domain);
   ReplicaGroup& group = Group(record.m_service);
-  pool = std::make_shared<ReplicaConnectionPool>(
+  auto new_pool = std::make_shared<ReplicaConnectionPool>(
       m_context, record, address, m_availability.Find(record),
       std::move(settings), m_response_rules, [&group] { group.WakeWaiters(); });
-  group.Pools().push_back(pool);
+
+  // The pool is in both lists or, after an exception, in none
+  group.Pools().reserve(group.Pools().size() + 1);
+  m_pools[record.m_id] = new_pool;
+  group.Pools().push_back(std::move(new_pool));
 }
 
 FleetSize ReplicaGroups::FleetSizeFor(const FailureDomain& domain) const {
--- a/packages/gateway/tests/allocation_failure_test.cpp
+++ b/packages/gateway/tests/allocation_failure_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "failing_allocations.h"
+#include "replica_groups.h"
 #include "upstream_connection.h"
 
 namespace jackdawrack {
@@ -133,5 +134,32 @@
   REQUIRE_FALSE(connection->IsIdle());
 }
 
+// The next sweep used a replica without a pool (SIGSEGV).
+TEST_CASE("a replica is used after any allocation of its start has failed") {
+  PublishedState state;
+  ReplicaRecord record;
+  record.m_id = UpstreamId("replica-with-a-name-that-is-allocated");
+  record.m_service = ServiceName("s");
+  record.m_endpoint = Endpoint{"127.0.0.1", 9};
+  state.Apply({RoutingConfig{}, record}, BootClock().Now());
+  for (int failure = 0; failure < kLastFailure; ++failure) {
+    asio::io_context context;
+    MemoryBudget memory(1 << 20);
+    ReplicaGroups groups(context, GatewaySettings{}, memory);
+    t_allocations_until_failure = failure;
+    try {
+      groups.Update(state);
+    } catch (const std::bad_alloc&) {
+      // Logged by `RunContext` in the daemon
+    }
+    t_allocations_until_failure = -1;
+    INFO("allocation " << failure);
+    groups.CloseTimedOut(BootClock().Now());
+    groups.Update(state);
+    CHECK(groups.Group(record.m_service).Pools().size() == 1);
+    CHECK(groups.ConnectionCount() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
