Answer a request after an exception in any of its steps

A caller waited for good, with its connection open, after an exception in a timer of its request: the timer was set again only after its work. The same followed an exception while a finished request was recorded, since the request counted as finished and its timer was cancelled. An exception in the start of a forwarded request ended the process (SIGSEGV): the session withdrew a request that had no sub-request yet. A request that could not be handed to a connection stayed in the list of its pool.

Each step that a timer or an upstream's answer starts runs in RunStep: the exception is logged and the request answers with what it has. What records a request no longer ends it. UpstreamConnection::Send either throws before anything has changed, or passes on a result. A response that cannot be written closes the connection.

"no caller is left waiting after any allocation of a request fails" ended by SIGSEGV on the code before, at allocation 13 of a forwarded request.

--- a/packages/gateway/src/active_request.h
+++ b/packages/gateway/src/active_request.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/run_logged.h"
 #include "routed_request.h"
 #include "sub_request.h"
 
@@ -26,10 +27,22 @@
   virtual void OnCallerDisconnected() = 0;
 
   /// Responds now with what has been received so far; running attempts are
-  /// abandoned.
+  /// abandoned. Has no effect after the response.
   virtual void FinishNow() = 0;
 };
 
+/// Runs one step of a request that has started. After an exception, which is
+/// logged, the request responds at once.
+template <typename Step>
+void RunStep(ActiveRequest& request, const Step& step) {
+  try {
+    step();
+  } catch (...) {
+    LogException("request", std::current_exception());
+    RunLogged("response", [&request] { request.FinishNow(); });
+  }
+}
+
 /// Makes the 503 response to a request that no upstream has executed and that
 /// cannot be sent before `retry_at`, or now if that is not known.
 [[nodiscard]] CallerResponse MakeNoUpstreamResponse(
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -269,7 +269,12 @@
   const bool keep_alive = m_is_keep_alive_requested &&
                           !response.m_closes_connection &&
                           m_request_handler.AllowsKeepAlive();
-  Run(WriteResponse(std::move(response), keep_alive));
+  try {
+    Run(WriteResponse(std::move(response), keep_alive));
+  } catch (...) {
+    LogException("response to caller", std::current_exception());
+    Close();
+  }
 }
 
 asio::awaitable<void> CallerSession::WriteResponse(CallerResponse response,
--- a/packages/gateway/src/forwarded_request.cpp
+++ b/packages/gateway/src/forwarded_request.cpp
@@ -47,13 +47,14 @@
       m_context, m_request, m_service,
       [weak = weak_from_this()](SubRequestResult result) {
         if (const auto self = weak.lock()) {
-          self->OnSubRequestFinished(std::move(result));
+          RunStep(*self,
+                  [&] { self->OnSubRequestFinished(std::move(result)); });
         }
       },
       [weak = weak_from_this()](TimePoint) {
         const auto self = weak.lock();
         if (self != nullptr && self->m_is_started) {
-          self->ScheduleTimer();
+          RunStep(*self, [&self] { self->ScheduleTimer(); });
         }
       });
   m_sub_request->Start();
@@ -72,7 +73,7 @@
   m_timer.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
-          self->OnTimer();
+          RunStep(*self, [&self] { self->OnTimer(); });
         }
       });
 }
@@ -91,6 +92,9 @@
 }
 
 void ForwardedRequest::FinishNow() {
+  if (m_is_finished) {
+    return;
+  }
   const TimePoint now = BootClock().Now();
   m_sub_request->Stop(now);
   Respond(
@@ -115,6 +119,9 @@
   const TimePoint now = BootClock().Now();
   m_is_finished = true;
   m_timer.cancel();
+  if (m_sub_request == nullptr) {
+    return;
+  }
   m_sub_request->Stop(now);
   RecordFinishedRequest(m_context, {*m_request, {&m_sub_request, 1}, 0, 0},
                         now);
--- a/packages/gateway/src/replica_connection_pool.cpp
+++ b/packages/gateway/src/replica_connection_pool.cpp
@@ -202,12 +202,17 @@
   const std::uint64_t serial = m_next_serial++;
   const auto connection = AcquireConnection(needs_fresh, now);
   m_pending_requests.push_back(PendingRequest{serial, now, false});
-  connection->Send(std::move(request),
-                   [self = shared_from_this(), serial, connection,
-                    handler = std::move(handler)](ExchangeResult result) {
-                     self->OnExchangeEnd(serial, *connection, std::move(result),
-                                         handler);
-                   });
+  try {
+    connection->Send(std::move(request),
+                     [self = shared_from_this(), serial, connection,
+                      handler = std::move(handler)](ExchangeResult result) {
+                       self->OnExchangeEnd(serial, *connection,
+                                           std::move(result), handler);
+                     });
+  } catch (...) {
+    RemovePending(serial);
+    throw;
+  }
   return SentRequest(connection, serial);
 }
 
--- a/packages/gateway/src/scatter_gather_request.cpp
+++ b/packages/gateway/src/scatter_gather_request.cpp
@@ -61,13 +61,15 @@
         m_context, m_request, shards[index],
         [weak = weak_from_this(), index](SubRequestResult result) {
           if (const auto self = weak.lock()) {
-            self->OnSubRequestFinished(index, std::move(result));
+            RunStep(*self, [&] {
+              self->OnSubRequestFinished(index, std::move(result));
+            });
           }
         },
         [weak = weak_from_this()](TimePoint wake_at) {
           const auto self = weak.lock();
           if (self != nullptr && self->m_is_started) {
-            self->ScheduleNotAfter(wake_at);
+            RunStep(*self, [&] { self->ScheduleNotAfter(wake_at); });
           }
         }));
     m_sub_requests.back()->Start();
@@ -101,6 +103,9 @@
 }
 
 void ScatterGatherRequest::FinishNow() {
+  if (m_is_finished) {
+    return;
+  }
   // No more parts will arrive, as at the deadline
   Finish(m_progress.Decide(m_request->m_deadline));
 }
@@ -130,7 +135,7 @@
   m_timer.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
-          self->OnTimer();
+          RunStep(*self, [&self] { self->OnTimer(); });
         }
       });
 }
--- a/packages/gateway/src/sub_request.cpp
+++ b/packages/gateway/src/sub_request.cpp
@@ -132,11 +132,18 @@
   attempt.m_reason = reason;
   attempt.m_sent_at = now;
   m_attempts.push_back(std::move(attempt));
-  m_attempts[index].m_sent_request =
-      pool->Send(std::move(outgoing), !m_request->IsIdempotent(),
-                 [self = shared_from_this(), index](ExchangeResult result) {
-                   self->OnAttemptEnded(index, std::move(result));
-                 });
+  try {
+    m_attempts[index].m_sent_request =
+        pool->Send(std::move(outgoing), !m_request->IsIdempotent(),
+                   [self = shared_from_this(), index](ExchangeResult result) {
+                     self->OnAttemptEnded(index, std::move(result));
+                   });
+  } catch (...) {
+    m_attempts[index].m_state = AttemptState::kNotSent;
+    m_attempts[index].m_ended_at = now;
+    --m_delivered_attempts;
+    throw;
+  }
 }
 
 bool SubRequest::IsRunning() const {
--- a/packages/gateway/src/upstream_connection.cpp
+++ b/packages/gateway/src/upstream_connection.cpp
@@ -132,28 +132,35 @@
 
 void UpstreamConnection::Send(OutgoingRequest request, Handler handler) {
   JR_CHECK(IsIdle());
+  auto running =
+      std::make_shared<RunningExchange>(shared_from_this(), std::move(handler));
   m_is_busy = true;
   m_is_abandoned = false;
   m_connect_deadline = BootClock().Now() + kConnectTimeout;
-  asio::co_spawn(
-      m_socket.get_executor(),
-      [self = shared_from_this(), request = std::move(request),
-       handler = std::move(handler)]() mutable {
-        return self->Run(std::move(request), std::move(handler));
-      },
-      LogFailure("upstream response"));
+  try {
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this(), request = std::move(request),
+         running = std::move(running)]() mutable {
+          return self->Run(std::move(request), std::move(running));
+        },
+        LogFailure("upstream response"));
+  } catch (...) {
+    // `running` passes on that the exchange has ended
+    LogException("upstream exchange", std::current_exception());
+  }
 }
 
-asio::awaitable<void> UpstreamConnection::Run(OutgoingRequest request,
-                                              Handler handler) {
-  RunningExchange running(shared_from_this(), std::move(handler));
+asio::awaitable<void> UpstreamConnection::Run(
+    OutgoingRequest request,
+    std::shared_ptr<RunningExchange> running) {
   ExchangeResult result;
   try {
     result = co_await ConnectAndExchange(request);
   } catch (...) {
     LogException("upstream exchange", std::current_exception());
   }
-  running.End(std::move(result));
+  running->End(std::move(result));
 }
 
 void UpstreamConnection::EndExchange(ExchangeResult result,
--- a/packages/gateway/src/upstream_connection.h
+++ b/packages/gateway/src/upstream_connection.h
@@ -81,7 +81,8 @@
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
-  /// Sends a request, after connecting if necessary. `IsIdle` must be true.
+  /// Sends a request, after connecting if necessary. `IsIdle` must be true. If
+  /// this throws, nothing has changed and the handler is not called.
   void Send(OutgoingRequest request, Handler handler);
 
   /// Gives up the current request: if it has not been sent, it is not sent at
@@ -122,7 +123,8 @@
 
   class RunningExchange;
 
-  boost::asio::awaitable<void> Run(OutgoingRequest request, Handler handler);
+  boost::asio::awaitable<void> Run(OutgoingRequest request,
+                                   std::shared_ptr<RunningExchange> running);
   /// Makes the connection idle, or closes it, and passes on the result.
   void EndExchange(ExchangeResult result, const Handler& handler);
   boost::asio::awaitable<ExchangeResult> ConnectAndExchange(
--- a/packages/gateway/tests/allocation_failure_test.cpp
+++ b/packages/gateway/tests/allocation_failure_test.cpp
@@ -7,6 +7,7 @@
 
 #include "failing_allocations.h"
 #include "replica_groups.h"
+#include "silent_upstream_gateway.h"
 #include "upstream_connection.h"
 
 namespace jackdawrack {
@@ -17,6 +18,9 @@
 /// More allocations than one connection and its first request take.
 constexpr int kLastFailure = 60;
 
+/// More allocations than one request takes.
+constexpr int kMaxAllocations = 400;
+
 constexpr Milliseconds kRunTime{20};
 
 class RefusingHandler final : public CallerRequestHandler {
@@ -161,5 +165,22 @@
   }
 }
 
+// An exception in a timer of a request, or while it was recorded, left the
+// caller without an answer for good.
+TEST_CASE("no caller is left waiting after any allocation of a request fails") {
+  for (const std::string target : {"/one/x", "/all/x"}) {
+    SilentUpstreamGateway gateway;
+    bool has_failed = true;
+    int failing = 0;
+    for (; has_failed && failing < kMaxAllocations; ++failing) {
+      INFO(target << ", allocation " << failing);
+      REQUIRE(gateway.Call(target, failing, has_failed));
+      gateway.Read();
+    }
+    REQUIRE(failing > 20);
+    REQUIRE_FALSE(has_failed);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
