Write an error also when lines of requests fill the buffer

Event 9001 was missing from the log of a process that ended by it, as a burst of failed requests had filled the buffer and the line was dropped; event 9004 was there. Errors are written at once, but the bound was checked before what waits had been written. It is written first now.

"a broken invariant is logged with a full buffer" failed before for lack of 9001.

--- a/packages/core/src/event.cpp
+++ b/packages/core/src/event.cpp
@@ -176,13 +176,18 @@
   const EventDescription& event = Describe(id);
   EventSink& sink = Sink();
   const SinkLock lock(sink);
+  const bool is_written_now =
+      !sink.m_output.m_is_buffered || event.m_level == EventLevel::kError;
+  if (is_written_now) {
+    WriteWaiting(sink);
+  }
   if (sink.m_waiting.size() >= sink.m_output.m_max_waiting_bytes ||
       (sink.m_output.m_is_buffered && !TakeLine(sink, id))) {
     ++sink.m_dropped;
     return;
   }
   AppendLine(sink, event, text);
-  if (!sink.m_output.m_is_buffered || event.m_level == EventLevel::kError) {
+  if (is_written_now) {
     WriteWaiting(sink);
   }
 }
--- a/packages/core/tests/crash_log_test.cpp
+++ b/packages/core/tests/crash_log_test.cpp
@@ -64,6 +64,19 @@
   REQUIRE(Contains(ended, "9004 ProcessCrashed signal=6 "));
 }
 
+// Lines of requests filled the buffer, and the one of the error was dropped.
+TEST_CASE("a broken invariant is logged with a full buffer") {
+  const auto ended = RunInProcess([] {
+    ConfigureEventOutput({.m_is_buffered = true, .m_max_waiting_bytes = 100});
+    for (int line = 0; line < 10; ++line) {
+      LogEvent(EventId::kRequestFailed, "request={}", line);
+    }
+    JR_CHECK(1 > 2);
+  });
+  REQUIRE(ended.m_signal == SIGABRT);
+  REQUIRE(Contains(ended, "9001 InvariantBroken condition=1 > 2 "));
+}
+
 // Its text was written to standard error only, without time and instance.
 TEST_CASE("an exception that nothing handles is logged") {
   const auto ended = RunInProcess([] {
