Let one exception neither end a planned stop nor the wait for signals

An instance went on after SIGTERM until it was killed, with requests cut off then, once an exception had ended one turn of the stop: the timer was set again only after the work. One in a reload by SIGHUP left the signals unread, so that a later SIGTERM did nothing.

The next turn and the next signal are waited for before the work, the exit at the end of the grace period no longer depends on it, and a caller whose last response fails keeps none of the others from theirs.

There is no seam to throw at in a test; the tests of planned stops pass before and after.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -10,6 +10,7 @@
 #include "core/event.h"
 #include "core/metrics.h"
 #include "core/run_context.h"
+#include "core/run_logged.h"
 #include "exchange/peer_exchange.h"
 #include "file_mark.h"
 #include "gateway/gateway.h"
@@ -233,12 +234,12 @@
       if (error) {
         return;
       }
+      WaitForSignal();
       if (signal == SIGHUP) {
         ReloadSettings();
       } else if (!m_is_stopping) {
         BeginStop();
       }
-      WaitForSignal();
     });
   }
 
@@ -311,33 +312,39 @@
   void BeginStop() {
     m_is_stopping = true;
     m_shutdown.emplace(BootClock().Now(), m_settings.m_shutdown_grace_period);
+    ScheduleStop();
     LogEvent(EventId::kProcessStopping, "connections={}",
              m_gateway.CallerConnections());
     m_gateway.EndKeepAlive();
     m_exchange.AnnounceLeaving();
     m_updates.Stop();
-    ContinueStop();
+  }
+
+  void ScheduleStop() {
+    m_stop_timer.expires_after(kStopPoll);
+    m_stop_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        ScheduleStop();
+        ContinueStop();
+      }
+    });
   }
 
   void ContinueStop() {
     const TimePoint now = BootClock().Now();
-    if (now >= m_shutdown->StopAcceptingAt()) {
+    if (now < m_shutdown->StopAcceptingAt()) {
+      return;
+    }
+    RunLogged("planned stop", [this, now] {
       m_gateway.StopAccepting(m_shutdown->ResponsesDueAt());
       m_gateway.CloseIdle();
       if (now >= m_shutdown->ResponsesDueAt()) {
         m_gateway.FinishRequests();
       }
-      if (m_gateway.CallerConnections() == 0 || now >= m_shutdown->ExitAt()) {
-        m_context.stop();
-        return;
-      }
-    }
-    m_stop_timer.expires_after(kStopPoll);
-    m_stop_timer.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        ContinueStop();
-      }
     });
+    if (m_gateway.CallerConnections() == 0 || now >= m_shutdown->ExitAt()) {
+      m_context.stop();
+    }
   }
 
   GatewayFileSettings m_settings;
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/event.h"
-#include "core/exception_log.h"
+#include "core/run_logged.h"
 #include "net/listener.h"
 
 namespace jackdawrack {
@@ -104,7 +104,7 @@
 
 void CallerListener::FinishRequests() {
   for (const auto& session : m_sessions) {
-    session->FinishRequest();
+    RunLogged("last response", [&session] { session->FinishRequest(); });
   }
 }
 
