Peer frames: a key or share out of its range is refused

A request to run whose shard key lies beyond the key space broke JR_CHECK(key < kKeySpaceEnd) at its owner, and a share that is negative or no number broke JR_CHECK(wanted >= 0) at the lender or, once borrowed, JR_CHECK(fraction >= 0) at the borrower's next admission: the process would end by SIGABRT (the checks by reading). Such a frame does not decode any more, like one with an odd range.

"a frame with a key or share out of its range is refused" failed on the code before.

--- a/packages/peer/src/frame_codec.cpp
+++ b/packages/peer/src/frame_codec.cpp
@@ -6,6 +6,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
 #include <sstream>
 
 #include "peer/bounded_input_archive.h"
@@ -13,8 +14,24 @@
 namespace jackdawrack {
 namespace {
 
-// True if all ranges of a frame are ranges of keys.
-bool HasValidRanges(const PeerFrame& frame) {
+bool AreFractions(const std::vector<ContractShare>& shares) {
+  return std::all_of(shares.begin(), shares.end(), [](const auto& share) {
+    return std::isfinite(share.m_fraction) && share.m_fraction >= 0;
+  });
+}
+
+// True if keys, ranges and shares of a frame are within what is calculated
+// with.
+bool HasValidValues(const PeerFrame& frame) {
+  if (const auto* run = std::get_if<RunRequest>(&frame)) {
+    return run->m_shard_key < kKeySpaceEnd;
+  }
+  if (const auto* request = std::get_if<ShareRequest>(&frame)) {
+    return AreFractions(request->m_shares);
+  }
+  if (const auto* reply = std::get_if<ShareReply>(&frame)) {
+    return AreFractions(reply->m_grants.m_grants);
+  }
   if (const auto* query = std::get_if<SubQuery>(&frame)) {
     return std::all_of(query->m_ranges.begin(), query->m_ranges.end(),
                        [](const KeyRange& range) { return range.IsValid(); });
@@ -41,7 +58,7 @@
   try {
     BoundedInputArchive archive(bytes);
     archive(frame);
-    if (archive.RemainingBytes() != 0 || !HasValidRanges(frame)) {
+    if (archive.RemainingBytes() != 0 || !HasValidValues(frame)) {
       return std::nullopt;
     }
   } catch (const cereal::Exception&) {
--- a/packages/peer/tests/peer_link_test.cpp
+++ b/packages/peer/tests/peer_link_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "peer/frame_codec.h"
 #include "peer/peer_router.h"
@@ -29,6 +30,13 @@
   return hello;
 }
 
+Endpoint FreeEndpoint() {
+  asio::io_context context;
+  const asio::ip::tcp::acceptor acceptor(context,
+                                         {asio::ip::address_v4::loopback(), 0});
+  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
 /// The acceptor of a peer, and a router that calls it.
 class CalledPeer final {
  public:
@@ -121,15 +129,38 @@
   CHECK(answers[0].m_ranges[0].m_reason == MissReason::kUnreachable);
 }
 
+bool IsDecoded(const PeerFrame& frame) {
+  return BinaryCodec::Decode(BinaryCodec::Encode(frame)).has_value();
+}
+
+// The process ended by a check on the shard's key, or on the share with which
+// the next request was admitted.
+TEST_CASE("a frame with a key or share out of its range is refused") {
+  RunRequest run;
+  run.m_shard_key = kKeySpaceEnd - 1;
+  CHECK(IsDecoded(run));
+  run.m_shard_key = kKeySpaceEnd;
+  CHECK_FALSE(IsDecoded(run));
+  for (const double odd : {-0.5, std::numeric_limits<double>::quiet_NaN(),
+                           std::numeric_limits<double>::infinity()}) {
+    ShareRequest request;
+    request.m_shares = {ContractShare{Customer("acme"), odd}};
+    CHECK_FALSE(IsDecoded(request));
+    ShareReply reply;
+    reply.m_grants.m_grants = request.m_shares;
+    CHECK_FALSE(IsDecoded(reply));
+  }
+  ShareRequest request;
+  request.m_shares = {ContractShare{Customer("acme"), 0.5}};
+  CHECK(IsDecoded(request));
+}
+
 // The connection stayed open and was not read any more.
 TEST_CASE("a connection whose frame cannot be handled is closed") {
   asio::io_context context;
   MetricsRegistry metrics;
   const PeerTraffic traffic(metrics);
-  asio::ip::tcp::acceptor free_port(context,
-                                    {asio::ip::address_v4::loopback(), 0});
-  const Endpoint endpoint{"127.0.0.1", free_port.local_endpoint().port()};
-  free_port.close();
+  const Endpoint endpoint = FreeEndpoint();
   PeerService service;
   service.m_on_cancel = [](CallId) { throw std::runtime_error("cancel"); };
   PeerServer server(context, endpoint, MakeHello("server"), service, traffic);
