Peer server: a lack of descriptors pauses the accepting

An accept that fails at once, as without a free descriptor, was repeated without a pause: a worker of the classic daemon did nothing else until descriptors were free, and no line told so.

--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "peer/peer_server.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <set>
 
@@ -14,6 +15,10 @@
 
 namespace asio = boost::asio;
 
+/// Delay after a failed accept, which is mostly due to a lack of file
+/// descriptors.
+constexpr Milliseconds kAcceptRetryDelay{50};
+
 // Accepted connection. The peer's first frame is its hello; calls follow.
 class PeerSession final : public std::enable_shared_from_this<PeerSession> {
  public:
@@ -132,7 +137,8 @@
         m_self(std::move(self)),
         m_service(std::move(service)),
         m_traffic(traffic),
-        m_acceptor(asio::make_strand(context)) {}
+        m_acceptor(asio::make_strand(context)),
+        m_accept_timer(m_acceptor.get_executor()) {}
 
   NetResult<void> Start() {
     auto opened = OpenListener(m_acceptor, m_endpoint);
@@ -159,6 +165,7 @@
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
       self->m_acceptor.close(ignored);
+      self->m_accept_timer.cancel();
       for (const auto& session : self->m_sessions) {
         session->Close();
       }
@@ -173,13 +180,25 @@
           if (!self->m_acceptor.is_open()) {
             return;
           }
-          self->Accept();
-          if (!error) {
-            self->TryStartSession(std::move(socket));
+          if (error) {
+            LogEvent(EventId::kAcceptFailed, "reason=\"{}\"", error.message());
+            self->AcceptLater();
+            return;
           }
+          self->Accept();
+          self->TryStartSession(std::move(socket));
         });
   }
 
+  void AcceptLater() {
+    m_accept_timer.expires_after(kAcceptRetryDelay);
+    m_accept_timer.async_wait([self = shared_from_this()](auto error) {
+      if (!error && self->m_acceptor.is_open()) {
+        self->Accept();
+      }
+    });
+  }
+
   // Starts a session; an exception drops that connection only.
   void TryStartSession(asio::ip::tcp::socket socket) {
     try {
@@ -217,6 +236,7 @@
   const PeerService m_service;
   const PeerTraffic m_traffic;
   asio::ip::tcp::acceptor m_acceptor;
+  asio::steady_timer m_accept_timer;
   std::set<std::shared_ptr<PeerSession>> m_sessions;
   bool m_is_stopping = false;
   std::atomic<std::size_t> m_open_connections{0};
--- a/packages/peer/tests/peer_link_test.cpp
+++ b/packages/peer/tests/peer_link_test.cpp
@@ -1,3 +1,7 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
@@ -179,5 +183,38 @@
   CHECK(server.OpenConnections() == 0);
 }
 
+// Accepts failed in a loop without a pause and took a whole core.
+TEST_CASE("a lack of descriptors pauses the accepting of peers") {
+  constexpr std::size_t kMaxHandlers = 50;
+  asio::io_context context;
+  MetricsRegistry metrics;
+  const PeerTraffic traffic(metrics);
+  const Endpoint endpoint = FreeEndpoint();
+  PeerServer server(context, endpoint, MakeHello("server"), PeerService{},
+                    traffic);
+  REQUIRE(server.Start());
+  asio::io_context peer_context;
+  asio::ip::tcp::socket peer(peer_context);
+  peer.connect({asio::ip::address_v4::loopback(), endpoint.m_port});
+
+  // Allow no further descriptor
+  rlimit limit{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const rlimit few{static_cast<rlim_t>(peer.native_handle()) + 1,
+                   limit.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &few) == 0);
+  std::vector<int> used;
+  for (int copy = dup(0); copy >= 0; copy = dup(0)) {
+    used.push_back(copy);
+  }
+  const std::size_t handlers = context.run_for(kRunTime);
+  std::for_each(used.begin(), used.end(), close);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  CHECK(handlers < kMaxHandlers);
+  CHECK(server.OpenConnections() == 0);
+  context.run_for(kRunTime);
+  CHECK(server.OpenConnections() == 1);
+}
+
 }  // namespace
 }  // namespace jackdawrack
