Requests: one that cannot be recorded is answered nevertheless

A caller waited for an answer that never came. A request is marked as finished and its timer is cancelled before the log line and the metrics are written; an exception there skipped the response, and at a planned stop FinishNow broke JR_CHECK(!m_is_finished) (SIGABRT, by reading). The exception is logged and the response is sent.

--- a/packages/gateway/src/request_log.cpp
+++ b/packages/gateway/src/request_log.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event.h"
 #include "core/hash.h"
+#include "core/run_logged.h"
 
 namespace jackdawrack {
 namespace {
@@ -131,15 +132,9 @@
       .Add(!is_failure && finished.m_missing_shards > 0 ? 1 : 0);
 }
 
-}  // namespace
-
-std::string RouteLabel(const std::string& route) {
-  return fmt::format("route=\"{}\"", route);
-}
-
-void RecordFinishedRequest(const GatewayContext& context,
-                           const FinishedRequest& finished,
-                           TimePoint now) {
+void Record(const GatewayContext& context,
+            const FinishedRequest& finished,
+            TimePoint now) {
   const RoutedRequest& request = finished.m_request;
   const Duration duration = now - request.m_arrived_at;
   const AttemptCounts attempts = CountAttempts(finished);
@@ -173,4 +168,17 @@
   context.m_recent_requests.Add(MakeTrace(finished, duration));
 }
 
+}  // namespace
+
+std::string RouteLabel(const std::string& route) {
+  return fmt::format("route=\"{}\"", route);
+}
+
+void RecordFinishedRequest(const GatewayContext& context,
+                           const FinishedRequest& finished,
+                           TimePoint now) {
+  // The request is answered even if it cannot be recorded
+  RunLogged("request log", [&] { Record(context, finished, now); });
+}
+
 }  // namespace jackdawrack
--- a/packages/gateway/tests/allocation_failure_test.cpp
+++ b/packages/gateway/tests/allocation_failure_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "failing_allocations.h"
+#include "forwarded_request.h"
 #include "replica_groups.h"
 #include "upstream_connection.h"
 
@@ -161,5 +162,65 @@
   }
 }
 
+// The request was marked as finished without a response, its timer was
+// cancelled, and the end of the process broke a check.
+TEST_CASE("a request is answered after any allocation of its end has failed") {
+  constexpr Milliseconds kTimeout{30};
+  RoutingConfig config;
+  config.m_version = 1;
+  Route route;
+  route.m_name = "a-route-with-a-name-that-is-allocated";
+  route.m_host = "app.test";
+  route.m_prefix = "/";
+  route.m_timeout = kTimeout;
+  route.m_target_latency = kTimeout;
+  route.m_services = {WeightedService{ServiceName("s"), 1}};
+  config.m_routes = {route};
+  asio::io_context context;
+  const asio::ip::tcp::acceptor silent_upstream(
+      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  ReplicaRecord record;
+  record.m_id = UpstreamId("u");
+  record.m_service = ServiceName("s");
+  record.m_slots = 1'000;
+  record.m_endpoint =
+      Endpoint{"127.0.0.1", silent_upstream.local_endpoint().port()};
+  PublishedState state;
+  state.Apply({config, record}, BootClock().Now());
+  MemoryBudget memory(1 << 20);
+  const GatewaySettings settings;
+  ReplicaGroups replicas(context, settings, memory);
+  replicas.Update(state);
+  for (int failure = 0; failure < kLastFailure; ++failure) {
+    HedgeDelays hedge_delays;
+    MetricsRegistry metrics;
+    RecentRequests recent;
+    auto request = std::make_shared<RoutedRequest>();
+    request->m_request_id = "a-request-with-an-id-that-is-allocated";
+    request->m_method = "GET";
+    request->m_route_table = state.Table();
+    request->m_route = &state.Table()->Config().m_routes.front();
+    request->m_arrived_at = BootClock().Now();
+    request->m_deadline = request->m_arrived_at + kTimeout;
+    int responses = 0;
+    const auto forwarded = std::make_shared<ForwardedRequest>(
+        GatewayContext{context, settings, replicas, hedge_delays, metrics,
+                       recent},
+        request, record.m_service,
+        [&responses](const CallerResponse&) { ++responses; });
+    forwarded->Start();
+    t_allocations_until_failure = failure;
+    try {
+      forwarded->FinishNow();
+    } catch (const std::bad_alloc&) {
+      // Logged by `RunContext` in the daemon
+    }
+    t_allocations_until_failure = -1;
+    RunFor(context, 2 * kTimeout);
+    INFO("allocation " << failure);
+    CHECK(responses == 1);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawrack
