Classic daemon: SIGHUP does not end the process

SIGHUP, with which the gateway is told to read its settings again, ended an instance of the classic daemon at once, with the requests it held: the signal was held back during the start and then delivered, while the signal set only had SIGTERM and SIGINT, so that its default action ran.

"an instance of the classic daemon outlives SIGHUP" failed on the code before: the process had ended.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -142,14 +142,26 @@
 
   void RunUntilSignal() {
     boost::asio::io_context signals;
-    boost::asio::signal_set set(signals, SIGTERM, SIGINT);
-    set.async_wait([](auto, int) {});
+    boost::asio::signal_set set(signals, SIGTERM, SIGINT, SIGHUP);
+    WaitForStop(set);
     UnblockControlSignals();
     signals.run();
     StopGracefully();
   }
 
  private:
+  // Ends with the first signal to stop. The settings are read at the start
+  // only.
+  static void WaitForStop(boost::asio::signal_set& signals) {
+    signals.async_wait([&signals](boost::system::error_code error, int signal) {
+      if (!error && signal == SIGHUP) {
+        WaitForStop(signals);
+        LogEvent(EventId::kSettingsRefused,
+                 "kept=previous problems=\"read at the start only\"");
+      }
+    });
+  }
+
   PeerService MakeService() {
     PeerService service;
     service.m_on_sub_query = [this](SubQuery query,
