Signals that come while a process ends do not kill it

An instance that is told to stop twice, or to reload while it ends, can end by the second signal in place of exit code 0: the event loop has ended, the destructor of the signal set has restored the default action of SIGTERM, SIGINT and SIGHUP, and what the loop still holds is being destroyed. The signals are now held back from the end of the loop on, as they are before the handlers are installed.

--- a/packages/core/include/core/control_signals.h
+++ b/packages/core/include/core/control_signals.h
@@ -14,8 +14,9 @@
   return signals;
 }
 
-/// Holds back signals until their handlers are installed, so that one which
-/// arrives during the start is handled and does not kill the process.
+/// Holds back signals while their handlers are not installed: one that arrives
+/// during the start is handled later, and one that arrives after the last
+/// handler has run does not kill the process.
 inline void BlockControlSignals() {
   const sigset_t signals = ControlSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -51,6 +51,7 @@
     return kExitCannotStart;
   }
   daemon.RunUntilSignal();
+  jackdawrack::BlockControlSignals();
   return kExitOk;
 }
 
--- a/packages/testing/tests/gateway_stop_test.cpp
+++ b/packages/testing/tests/gateway_stop_test.cpp
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -82,6 +83,36 @@
   }
 };
 
+// True once the process has ended; does not reap it.
+bool HasEnded(const ChildProcess& process) {
+  siginfo_t info{};
+  return waitid(P_PID, static_cast<id_t>(process.Pid()), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid != 0;
+}
+
+// Connections of callers in every state in which a stop can meet them.
+std::vector<std::unique_ptr<RawCaller>> OpenInEveryState(std::uint16_t port) {
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  const auto open = [&callers, port](const std::string& bytes) {
+    callers.push_back(std::make_unique<RawCaller>(port));
+    callers.back()->Send(bytes);
+  };
+  for (int number = 0; number < 8; ++number) {
+    const std::string request =
+        RawCaller::MakeRequest("POST", number % 2 == 0 ? "/book/x" : "/q/x",
+                               fmt::format("open{}", number), "lens", 18'000);
+    open("");
+    open(request.substr(0, 30));
+    open(request.substr(0, request.size() - 2));
+    open(request);
+    callers.push_back(std::make_unique<RawCaller>(port));
+    (void)callers.back()->Call("GET", "/nowhere",
+                               fmt::format("done{}", number));
+  }
+  return callers;
+}
+
 // Such requests were passed on and cut off at the end of the grace period, also
 // those that may be executed only once.
 TEST_CASE(
@@ -188,6 +219,39 @@
   REQUIRE(fleet.Process(0).WaitExit(6'000) == 0);
 }
 
+// A signal after the handlers were removed killed the process, and what objects
+// leave behind in the event loop is destroyed only then.
+TEST_CASE("a stop with anything open and repeated signals is a planned stop") {
+  const auto mode = GENERATE(ReplicaMode::kAnswer, ReplicaMode::kHang);
+  GatewayFleet fleet(
+      {.m_name = "gw-stop-open",
+       .m_instance_domains = {"east", "east", "east", "east", "east", "east"},
+       .m_replica_domains = {"east"},
+       .m_timeout_ms = 20'000});
+  fleet.Start();
+  for (const char* service : {"single", "shard-0", "shard-1"}) {
+    fleet.Replica(service, "east").SetMode(mode);
+  }
+  const auto callers = OpenInEveryState(fleet.CallerPort());
+  const std::vector<std::size_t> stopped{0, 1, 2, 3, 4, 5};
+  const auto has_ended = [&fleet](std::size_t instance) {
+    return HasEnded(fleet.Process(instance));
+  };
+  const TimePoint give_up = SteadyClock().Now() + Milliseconds(8'000);
+  while (!std::all_of(stopped.begin(), stopped.end(), has_ended) &&
+         SteadyClock().Now() < give_up) {
+    for (const std::size_t instance : stopped) {
+      fleet.Process(instance).Signal(SIGTERM);
+      fleet.Process(instance).Signal(SIGHUP);
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(500));
+  }
+  for (const std::size_t instance : stopped) {
+    INFO("instance " << instance);
+    REQUIRE(fleet.Process(instance).WaitExit(1'000) == 0);
+  }
+}
+
 TEST_CASE("a planned stop under load answers every request that it has read") {
   GatewayFleet fleet({.m_name = "gw-stop-points",
                       .m_instance_domains = {"east", "west"},
