A handler of the HTTP server that throws costs a reply, not the session

A handler that threw cost the caller its reply. The session that ended by the exception stayed in the list of open ones, so that the server came closer to its bound on connections for ever, never counted as quiet, and used the session, which was gone, in the next CloseIdle. A handler that replied twice, or that threw after its reply, completed one exchange twice. Peers, readiness and operators are served this way, and the handlers apply what was received.

The handler's exception is now logged and answered with status 500, only the first reply counts, and sessions and running requests are counted by objects of the session's own scope, which also end with an exception.

Both tests failed on the code before: no reply and connections that stay open in the first, then SIGSEGV in CloseIdle; SIGSEGV in the second.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "core/check.h"
+#include "core/exception_log.h"
 #include "net/listener.h"
 #include "net/socket_options.h"
 
@@ -84,6 +85,14 @@
   return reply;
 }
 
+HttpReply MakeInternalErrorReply() {
+  HttpReply reply;
+  reply.m_status = 500;
+  reply.m_body =
+      R"({"error":"internal","message":"Internal error.","executed":"unknown"})";
+  return reply;
+}
+
 bool IsParseError(const beast::error_code& error) {
   static const auto& category =
       http::make_error_code(http::error::bad_value).category();
@@ -165,6 +174,46 @@
     bool m_has_request = false;
   };
 
+  // Removes a session at its end, also after an exception.
+  class OpenSession final {
+   public:
+    OpenSession(Impl& server, Session& session)
+        : m_server(server), m_session(session) {}
+    ~OpenSession() {
+      const std::lock_guard lock(m_server.m_mutex);
+      m_server.m_sessions.erase(&m_session);
+    }
+
+    OpenSession(const OpenSession&) = delete;
+    OpenSession& operator=(const OpenSession&) = delete;
+
+   private:
+    Impl& m_server;
+    Session& m_session;
+  };
+
+  // Counts a request while it is in progress, however it ends.
+  class RunningRequest final {
+   public:
+    RunningRequest(Impl& server, Session& session)
+        : m_server(server), m_session(session) {
+      m_session.m_has_request = true;
+      ++m_server.m_running_requests;
+    }
+    ~RunningRequest() {
+      m_server.m_last_activity = SteadyClock().Now();
+      --m_server.m_running_requests;
+      m_session.m_has_request = false;
+    }
+
+    RunningRequest(const RunningRequest&) = delete;
+    RunningRequest& operator=(const RunningRequest&) = delete;
+
+   private:
+    Impl& m_server;
+    Session& m_session;
+  };
+
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<Impl> self) {
     while (!self->m_stopping) {
       auto [error, socket] = co_await self->m_acceptor.async_accept(
@@ -217,16 +266,16 @@
     }
     ApplySocketOptions(session->m_stream.socket(), kUserTimeout);
     asio::co_spawn(session->m_stream.get_executor(),
-                   RunSession(shared_from_this(), session), asio::detached);
+                   RunSession(shared_from_this(), session),
+                   LogFailure("HTTP session"));
   }
 
   static asio::awaitable<void> RunSession(std::shared_ptr<Impl> self,
                                           std::shared_ptr<Session> session) {
+    const OpenSession open(*self, *session);
     while (co_await self->ServeRequest(*session)) {
     }
     co_await ShutDownGracefully(*session);
-    const std::lock_guard lock(self->m_mutex);
-    self->m_sessions.erase(session.get());
   }
 
   // Shuts down sending and reads until the peer closes, so that the last reply
@@ -250,13 +299,8 @@
     if (!co_await WaitForFirstByte(session)) {
       co_return false;
     }
-    session.m_has_request = true;
-    ++m_running_requests;
-    const bool keep_alive = co_await ReadAndHandle(session);
-    m_last_activity = SteadyClock().Now();
-    --m_running_requests;
-    session.m_has_request = false;
-    co_return keep_alive;
+    const RunningRequest running(*this, session);
+    co_return co_await ReadAndHandle(session);
   }
 
   asio::awaitable<bool> WaitForFirstByte(Session& session) {
@@ -300,12 +344,22 @@
         [this](auto completion, HttpRequest http_request) {
           auto shared =
               std::make_shared<decltype(completion)>(std::move(completion));
-          m_handler(std::move(http_request), [shared](HttpReply reply) {
+          const auto is_answered = std::make_shared<std::atomic<bool>>(false);
+          const ReplyCallback send = [shared, is_answered](HttpReply reply) {
+            if (is_answered->exchange(true)) {
+              return;
+            }
             auto executor = asio::get_associated_executor(*shared);
             asio::post(executor, [shared, reply = std::move(reply)]() mutable {
               (*shared)(std::move(reply));
             });
-          });
+          };
+          try {
+            m_handler(std::move(http_request), send);
+          } catch (...) {
+            LogException("HTTP request", std::current_exception());
+            send(MakeInternalErrorReply());
+          }
         },
         asio::use_awaitable, std::move(request));
   }
