--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -72,6 +72,9 @@
   /// The replica of a service ("shard-N" or "single") in a failure domain.
   [[nodiscard]] ReplicaStandin& Replica(const std::string& service,
                                         const std::string& domain);
+  /// Where it listens.
+  [[nodiscard]] Endpoint ReplicaEndpoint(const std::string& service,
+                                         const std::string& domain);
   [[nodiscard]] static std::string ReplicaId(const std::string& service,
                                              const std::string& domain);
   /// Publishes the record of a replica.
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -197,6 +197,11 @@
   return *Find(service, domain).m_standin;
 }
 
+Endpoint GatewayFleet::ReplicaEndpoint(const std::string& service,
+                                       const std::string& domain) {
+  return Find(service, domain).m_endpoint;
+}
+
 std::string GatewayFleet::ReplicaId(const std::string& service,
                                     const std::string& domain) {
   return "u-" + service + "-" + domain;
