An exchange of the HTTP client that throws is told to its handler

A call to the store or to a peer whose exchange ended with an exception, for example for lack of memory for a reply of many megabytes, called no handler and left the connection counted as busy. The next request on it broke the invariant that one request is in progress at a time, and the process ended with SIGABRT; without a next request, the store or the store readers were never asked again. The exception is now logged, the connection closed, and the handler gets an error like any other.

That memory runs out in an instance has not been tried.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -115,7 +115,16 @@
                                        HttpRequest request,
                                        Milliseconds timeout,
                                        ReplyHandler handler) {
-    handler(co_await self->Exchange(request, timeout));
+    NetResult<HttpReply> result =
+        MakeError(NetErrc::kConnectionLost, "the exchange failed");
+    try {
+      result = co_await self->Exchange(request, timeout);
+    } catch (...) {
+      LogException("HTTP exchange", std::current_exception());
+      self->m_busy = false;
+      self->CloseNow();
+    }
+    handler(std::move(result));
   }
 
   asio::awaitable<NetResult<void>> EnsureConnected(Milliseconds timeout) {
--- a/packages/net/tests/http_server_test.cpp
+++ b/packages/net/tests/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "free_port.h"
 #include "net/run_context.h"
 
 namespace jackdawrack {
@@ -68,13 +69,6 @@
   }
 
  private:
-  static std::uint16_t FreePort() {
-    asio::io_context context;
-    const tcp::acceptor acceptor(
-        context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
-  }
-
   asio::io_context m_context;
   tcp::endpoint m_address;
   std::optional<HttpServer> m_server;
