--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -57,6 +57,7 @@
     return FailStart(started.error().m_message);
   }
   daemon.RunUntilSignal();
+  jackdawrack::BlockControlSignals();
   return kExitOk;
 }
 
