--- a/packages/standin/include/standin/replica_standin.h
+++ b/packages/standin/include/standin/replica_standin.h
@@ -130,6 +130,9 @@
   /// Sends a copy of each answer from now on.
   void SetLateCopy(LateCopy copy);
 
+  /// Sends no more copies from now on.
+  void StopCopies();
+
   /// Bounds what runs and waits from now on.
   void SetCapacity(const ReplicaCapacity& capacity);
 
@@ -140,6 +143,9 @@
   /// Closes the listener and all connections.
   void Stop();
 
+  /// Listens again after `Stop`.
+  void Resume();
+
   /// All requests so far, in order of arrival.
   [[nodiscard]] std::vector<SeenRequest> Seen() const;
 
--- a/packages/standin/include/standin/store_standin.h
+++ b/packages/standin/include/standin/store_standin.h
@@ -34,12 +34,18 @@
   /// Writes an item; its value is given as plain bytes.
   void Put(std::string key, std::string value);
 
+  /// Writes an item whose value is served as it is given, base64 or not.
+  void PutEncoded(std::string key, std::string value);
+
   /// Removes an item.
   void Remove(std::string key);
 
   /// Changes how calls are answered; waiting watches end unless silent.
   void SetMode(StoreMode mode);
 
+  /// Time that each call takes from now on, beyond its own.
+  void SetDelay(Milliseconds time);
+
   /// Never replies to the calls that wait now and that arrive within `time`, as
   /// if their connections had gone silent.
   void LoseReplies(Milliseconds time);
--- a/packages/standin/src/replica_standin.cpp
+++ b/packages/standin/src/replica_standin.cpp
@@ -91,6 +91,11 @@
     m_late_copy = std::move(copy);
   }
 
+  void StopCopies() {
+    const std::lock_guard lock(m_mutex);
+    m_late_copy.reset();
+  }
+
   void SetServiceTime(Milliseconds time) { m_service_ms = time.count(); }
 
   void SetCapacity(const ReplicaCapacity& capacity) {
@@ -115,6 +120,14 @@
     });
   }
 
+  void Resume() {
+    asio::post(m_strand, [self = shared_from_this()] {
+      if (!self->m_acceptor.is_open()) {
+        self->Start();
+      }
+    });
+  }
+
   [[nodiscard]] std::vector<SeenRequest> Seen() const {
     const std::lock_guard lock(m_mutex);
     return m_seen;
@@ -357,6 +370,10 @@
   m_impl->SetLateCopy(std::move(copy));
 }
 
+void ReplicaStandin::StopCopies() {
+  m_impl->StopCopies();
+}
+
 void ReplicaStandin::SetServiceTime(Milliseconds time) {
   m_impl->SetServiceTime(time);
 }
@@ -373,6 +390,10 @@
   m_impl->Stop();
 }
 
+void ReplicaStandin::Resume() {
+  m_impl->Resume();
+}
+
 std::vector<SeenRequest> ReplicaStandin::Seen() const {
   return m_impl->Seen();
 }
--- a/packages/standin/src/store_standin.cpp
+++ b/packages/standin/src/store_standin.cpp
@@ -1,5 +1,6 @@
 #include "standin/store_standin.h"
 
+#include <atomic>
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/post.hpp>
@@ -75,17 +76,20 @@
                  MakeSettings(std::move(endpoint)),
                  [this](HttpRequest request, HttpServer::ReplyCallback reply) {
                    ++m_calls;
-                   asio::post(m_strand, [this, request = std::move(request),
-                                         reply = std::move(reply)] {
-                     Answer(request.m_target, reply);
-                   });
+                   const auto delay = std::make_shared<asio::steady_timer>(
+                       m_strand, m_delay.load());
+                   delay->async_wait(
+                       [this, delay, request = std::move(request),
+                        reply = std::move(reply)](boost::system::error_code) {
+                         Answer(request.m_target, reply);
+                       });
                  }) {}
 
   NetResult<void> Start() { return m_server.Start(); }
 
-  void Put(std::string key, std::string value) {
-    Post([key = std::move(key), value = std::move(value)](Impl& self) {
-      self.m_items[key] = Item{ToBase64(value), ++self.m_revision};
+  void PutEncoded(std::string key, std::string base64) {
+    Post([key = std::move(key), base64 = std::move(base64)](Impl& self) {
+      self.m_items[key] = Item{base64, ++self.m_revision};
       self.m_history[self.m_revision] = Event{key, self.m_items[key]};
       self.EndWatches();
     });
@@ -108,6 +112,8 @@
     });
   }
 
+  void SetDelay(Milliseconds time) { m_delay = time; }
+
   void LoseReplies(Milliseconds time) {
     Post([time](Impl& self) {
       self.m_silent_until = SteadyClock().Now() + time;
@@ -255,6 +261,7 @@
   std::uint64_t m_revision = 1;
   std::uint64_t m_forgotten = 0;
   StoreMode m_mode = StoreMode::kServe;
+  std::atomic<Milliseconds> m_delay{Milliseconds(0)};
   TimePoint m_silent_until{};
   std::list<Waiting> m_watches;
   std::list<HttpServer::ReplyCallback> m_unanswered;
@@ -272,7 +279,11 @@
 }
 
 void StoreStandin::Put(std::string key, std::string value) {
-  m_impl->Put(std::move(key), std::move(value));
+  m_impl->PutEncoded(std::move(key), ToBase64(value));
+}
+
+void StoreStandin::PutEncoded(std::string key, std::string value) {
+  m_impl->PutEncoded(std::move(key), std::move(value));
 }
 
 void StoreStandin::Remove(std::string key) {
@@ -283,6 +294,10 @@
   m_impl->SetMode(mode);
 }
 
+void StoreStandin::SetDelay(Milliseconds time) {
+  m_impl->SetDelay(time);
+}
+
 void StoreStandin::LoseReplies(Milliseconds time) {
   m_impl->LoseReplies(time);
 }
--- a/packages/testing/include/testing/child_process.h
+++ b/packages/testing/include/testing/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,15 @@
   [[nodiscard]] bool IsRunning() const { return m_pid > 0; }
   [[nodiscard]] pid_t Pid() const { return m_pid; }
 
+  /// How it ended: the exit code, or the negative number of the signal; nothing
+  /// before it was seen to end.
+  [[nodiscard]] std::optional<int> EndStatus() const { return m_end_status; }
+
  private:
+  bool Reap(int options);
+
   pid_t m_pid = -1;
+  std::optional<int> m_end_status;
 };
 
 }  // namespace jackdawrack
--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include "standin/replica_standin.h"
@@ -26,6 +27,8 @@
   int m_timeout_ms = 1'500;
   /// Time after a disruption within which an instance is up to date again.
   int m_stable_ms = 2'000;
+  /// Folder of the programs; that of the build if empty.
+  std::string m_bin_folder = {};
 };
 
 /// Real instances in front of stand-ins of the users' platform, on loopback.
@@ -94,8 +97,15 @@
 
   /// Requests of this id that ran, over all replicas.
   [[nodiscard]] std::size_t RunsOf(const std::string& id) const;
+  /// The same for all ids that ran at all.
+  [[nodiscard]] std::unordered_map<std::string, std::size_t> AllRuns() const;
+
+  /// Where nothing listens, other than where a replica may start later.
+  [[nodiscard]] Endpoint UnusedEndpoint() const { return At(kUnusedPlace); }
 
  private:
+  static constexpr std::uint16_t kUnusedPlace = PortBlock::kSize - 1;
+
   struct Member {
     std::uint16_t m_first_place = 0;
     std::unique_ptr<ChildProcess> m_process;
--- a/packages/testing/src/child_process.cpp
+++ b/packages/testing/src/child_process.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <thread>
@@ -57,10 +58,8 @@
 
 int ChildProcess::WaitExit(int timeout_ms) {
   for (int waited = 0; m_pid > 0 && waited <= timeout_ms; waited += kPollMs) {
-    int status = 0;
-    if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
-      m_pid = -1;
-      return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    if (Reap(WNOHANG)) {
+      return std::max(*m_end_status, -1);
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
   }
@@ -68,18 +67,24 @@
 }
 
 bool ChildProcess::HasEnded() {
-  if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
-    m_pid = -1;
-  }
-  return m_pid < 0;
+  return m_pid < 0 || Reap(WNOHANG);
 }
 
 void ChildProcess::Kill() {
   if (m_pid > 0) {
     kill(m_pid, SIGKILL);
-    waitpid(m_pid, nullptr, 0);
-    m_pid = -1;
+    Reap(0);
+  }
+}
+
+bool ChildProcess::Reap(int options) {
+  int status = 0;
+  if (waitpid(m_pid, &status, options) != m_pid) {
+    return false;
   }
+  m_pid = -1;
+  m_end_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return true;
 }
 
 }  // namespace jackdawrack
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint16_t kStorePlace = 1;
 constexpr std::uint16_t kFirstInstancePlace = 2;
 constexpr std::uint16_t kPlacesPerInstance = 4;
-constexpr std::uint16_t kFirstReplicaPlace = 100;
 constexpr int kPollMs = 10;
 constexpr unsigned kStatusOk = 200;
 constexpr std::uint64_t kFirstStartMs = 1'000;
@@ -35,7 +34,9 @@
 
 GatewayFleet::GatewayFleet(GatewayFleetSettings settings)
     : m_settings(std::move(settings)),
-      m_next_replica_place(kFirstReplicaPlace) {
+      m_next_replica_place(static_cast<std::uint16_t>(
+          kFirstInstancePlace +
+          kPlacesPerInstance * m_settings.m_instance_domains.size())) {
   m_folder = fmt::format("{}/jackdawrack-{}-{}",
                          std::filesystem::temp_directory_path().string(),
                          m_settings.m_name, getpid());
@@ -112,7 +113,9 @@
 
 void GatewayFleet::StartInstance(std::size_t instance) {
   m_members[instance].m_process = std::make_unique<ChildProcess>(
-      std::string(JACKDAWRACK_BIN_DIR) + "/jackdawrackd",
+      (m_settings.m_bin_folder.empty() ? JACKDAWRACK_BIN_DIR
+                                       : m_settings.m_bin_folder) +
+          "/jackdawrackd",
       std::vector<std::string>{"--settings", SettingsPath(instance)},
       LogPath(instance));
 }
@@ -297,4 +300,16 @@
   return runs;
 }
 
+std::unordered_map<std::string, std::size_t> GatewayFleet::AllRuns() const {
+  std::unordered_map<std::string, std::size_t> runs;
+  for (const StandinReplica& replica : m_replicas) {
+    for (const SeenRequest& seen : replica.m_standin->Seen()) {
+      if (seen.m_has_run) {
+        ++runs[seen.m_id];
+      }
+    }
+  }
+  return runs;
+}
+
 }  // namespace jackdawrack
