--- a/packages/testing/src/soak_callers.cpp
+++ b/packages/testing/src/soak_callers.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "soak_checks.h"
+#include "testing/soak_checks.h"
 
 namespace jackdawrack {
 namespace {
--- a/packages/testing/src/soak_checks.cpp
+++ b/packages/testing/src/soak_checks.cpp
@@ -1,4 +1,4 @@
-#include "soak_checks.h"
+#include "testing/soak_checks.h"
 
 #include <fmt/format.h>
 
@@ -37,7 +37,7 @@
   std::set<std::string> sets;
   std::vector<std::string> records;
   for (std::string part; std::getline(parts, part, ',');) {
-    const auto stamp = ReadStamp(part.substr(part.find_first_not_of(' ')));
+    const auto stamp = ReadStamp(part.erase(0, part.find_first_not_of(' ')));
     if (!stamp || stamp->m_id != id) {
       return "a part is not signed for the request: " + part;
     }
