--- a/packages/testing/tests/gateway_log_test.cpp
+++ b/packages/testing/tests/gateway_log_test.cpp
@@ -112,6 +112,7 @@
   REQUIRE(caller.Call("POST", "/book/x", "last-request", "body"));
   fleet.Process(0).Signal(SIGABRT);
   REQUIRE(fleet.Process(0).WaitExit(5'000) == -1);
+  REQUIRE(fleet.Process(0).EndStatus() == -SIGABRT);
   const std::string log = fleet.LogText(0);
   REQUIRE(log.find("4006 RequestFailed request=last-request ") !=
           std::string::npos);
