Refuse a message of a peer with a truth value that is neither 0 nor 1

A byte of a received message was copied into a bool as it was. A bool that holds another value is undefined: it may count as true in one place and as false in the next. Such a message is now refused like any that cannot be decoded.

--- a/packages/exchange/tests/peer_message_test.cpp
+++ b/packages/exchange/tests/peer_message_test.cpp
@@ -1,5 +1,6 @@
 #include "exchange/peer_message.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -52,6 +53,22 @@
   }
 }
 
+// The byte was copied into a `bool`, which cannot hold it.
+TEST_CASE("a message with a truth value that is neither 0 nor 1 is rejected") {
+  PeerMessage message = MakeMessage();
+  message.m_wants_snapshot = false;
+  const std::string without = EncodePeerMessage(message);
+  message.m_wants_snapshot = true;
+  const std::string with = EncodePeerMessage(message);
+  const auto [byte, other] =
+      std::mismatch(with.begin(), with.end(), without.begin());
+  REQUIRE(byte != with.end());
+  std::string corrupted = with;
+  corrupted[static_cast<std::size_t>(byte - with.begin())] = 114;
+  REQUIRE(DecodePeerMessage(with).has_value());
+  REQUIRE_FALSE(DecodePeerMessage(corrupted).has_value());
+}
+
 // A duration from another process is added to times of this one.
 TEST_CASE("durations of a decoded message can be calculated with") {
   for (const Milliseconds odd :
--- a/packages/peer/include/peer/bounded_input_archive.h
+++ b/packages/peer/include/peer/bounded_input_archive.h
@@ -43,6 +43,18 @@
   archive.loadBinary(&value, sizeof(value));
 }
 
+/// Loads a truth value. Throws `cereal::Exception` if the byte is neither 0 nor
+/// 1, which a `bool` cannot hold.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive,
+                                      bool& value) {
+  unsigned char byte = 0;
+  archive.loadBinary(&byte, sizeof(byte));
+  if (byte > 1) {
+    throw cereal::Exception("a truth value is neither 0 nor 1");
+  }
+  value = byte == 1;
+}
+
 /// Loads the length of a container. Throws `cereal::Exception` if the length
 /// exceeds the remaining bytes, as each element takes at least one byte.
 template <typename T>
