Ignore a configuration of a peer with a route that leads nowhere

The store's configurations are checked when they are decoded, those of peers were applied as they came. A route without a service and without shards, from a damaged message or from a peer of another build, passed; by reading, the first request to it breaks the invariant that there is a service to choose, which ends the process with SIGABRT and all requests that it holds.

The test failed on the code before: version 6 was in force.

--- a/packages/routing/src/published_state.cpp
+++ b/packages/routing/src/published_state.cpp
@@ -1,5 +1,8 @@
 #include "routing/published_state.h"
 
+#include <algorithm>
+#include <string>
+
 #include "core/event.h"
 
 namespace jackdawrack {
@@ -21,9 +24,27 @@
   return false;
 }
 
+// As above.
+bool IsUsable(const RoutingConfig& config) {
+  const auto has_no_target = [](const Route& route) {
+    return route.m_services.empty() && !route.IsScattered();
+  };
+  const auto found = std::find_if(config.m_routes.begin(),
+                                  config.m_routes.end(), has_no_target);
+  if (found == config.m_routes.end()) {
+    return true;
+  }
+  LogIgnored({"version " + std::to_string(config.m_version),
+              "no service for the requests of route " + found->m_name});
+  return false;
+}
+
 }  // namespace
 
 bool PublishedState::ApplyConfig(const RoutingConfig& config) {
+  if (!IsUsable(config)) {
+    return false;
+  }
   const std::uint64_t known = m_table == nullptr ? 0 : m_table->Version();
   if (m_table != nullptr && config.m_version <= known) {
     return false;
--- a/packages/routing/tests/published_state_test.cpp
+++ b/packages/routing/tests/published_state_test.cpp
@@ -26,6 +26,24 @@
   REQUIRE(state.IsComplete());
 }
 
+// A peer's configuration was applied as it came, and the first request of such
+// a route broke the invariant that there is a service to choose.
+TEST_CASE("a configuration with a route that leads nowhere is ignored") {
+  ManualClock clock;
+  PublishedState state;
+  RoutingConfig config = MakeConfig(6);
+  Route scattered;
+  scattered.m_gather.m_shards = {ServiceName("s")};
+  config.m_routes = {scattered, Route{}};
+  state.Apply({MakeConfig(5), config}, clock.Now());
+  REQUIRE(state.Table()->Version() == 5);
+  state.ApplyListing({config}, clock.Now());
+  REQUIRE(state.Table()->Version() == 5);
+  config.m_routes[1].m_services = {WeightedService{ServiceName("s"), 1}};
+  state.Apply({config}, clock.Now());
+  REQUIRE(state.Table()->Version() == 6);
+}
+
 TEST_CASE("an unreadable value does not change known records") {
   ManualClock clock;
   PublishedState state;
