--- a/packages/testing/include/testing/gateway_fleet.h
+++ b/packages/testing/include/testing/gateway_fleet.h
@@ -46,6 +46,9 @@
   GatewayFleet(const GatewayFleet&) = delete;
   GatewayFleet& operator=(const GatewayFleet&) = delete;
 
+  /// Keeps settings and logs after the end, and returns their folder.
+  const std::string& KeepFolder();
+
   /// Starts the stand-ins and instances and waits until all are ready.
   void Start();
 
@@ -125,6 +128,7 @@
   const GatewayFleetSettings m_settings;
   PortBlock m_ports;
   std::string m_folder;
+  bool m_keeps_folder = false;
   boost::asio::io_context m_context;
   std::unique_ptr<StoreStandin> m_store;
   std::vector<StandinReplica> m_replicas;
--- a/packages/testing/include/testing/soak_plan.h
+++ b/packages/testing/include/testing/soak_plan.h
@@ -18,7 +18,7 @@
   // Upstreams
   kBreakReplica,
   kPauseReplica,
-  kCopyAnswers,
+  kAddToAnswers,
   kMendReplica,
   kEndReplica,
   kResumeReplica,
--- a/packages/testing/src/gateway_fleet.cpp
+++ b/packages/testing/src/gateway_fleet.cpp
@@ -58,7 +58,7 @@
   if (m_thread.joinable()) {
     m_thread.join();
   }
-  if (std::uncaught_exceptions() == 0) {
+  if (std::uncaught_exceptions() == 0 && !m_keeps_folder) {
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
   }
@@ -68,6 +68,11 @@
   return Endpoint{"127.0.0.1", m_ports.Port(place)};
 }
 
+const std::string& GatewayFleet::KeepFolder() {
+  m_keeps_folder = true;
+  return m_folder;
+}
+
 void GatewayFleet::Start() {
   if (!m_store->Start()) {
     throw std::runtime_error("the store stand-in cannot listen");
--- a/packages/testing/src/soak_plan.cpp
+++ b/packages/testing/src/soak_plan.cpp
@@ -23,7 +23,7 @@
     {kPublishConfigs, 2, std::nullopt},
     {kBreakReplica, 10, kMendReplica},
     {kPauseReplica, 3, std::nullopt},
-    {kCopyAnswers, 3, kMendReplica},
+    {kAddToAnswers, 3, kMendReplica},
     {kEndReplica, 2, kResumeReplica},
     {kDrainReplica, 2, kPublishReplica},
     {kUnpublishReplica, 2, kPublishReplica},
@@ -68,7 +68,7 @@
   static constexpr const char* kNames[] = {
       "put record",      "remove record",     "publish config",
       "publish configs", "break replica",     "pause replica",
-      "copy answers",    "mend replica",      "end replica",
+      "add to answers",  "mend replica",      "end replica",
       "resume replica",  "drain replica",     "unpublish replica",
       "restart replica", "overwrite replica", "publish replica",
       "SIGTERM",         "SIGTERM at start",  "SIGKILL",
--- a/packages/testing/src/soak_run.cpp
+++ b/packages/testing/src/soak_run.cpp
@@ -148,14 +148,11 @@
         return replica.SetMode(DrawMode(random));
       case SoakAction::kPauseReplica:
         return replica.Pause(Milliseconds(random() % 3'000));
-      case SoakAction::kCopyAnswers: {
-        static const std::string kEchoes[] = {"{id}", "feedbeef", ""};
-        return replica.SetLateCopy({Milliseconds(random() % 500),
-                                    random() % 2 == 0,
-                                    kEchoes[random() % std::size(kEchoes)]});
-      }
+      case SoakAction::kAddToAnswers:
+        return AddToAnswers(replica, random);
       case SoakAction::kMendReplica:
         replica.StopCopies();
+        replica.SetExtraFields("");
         return replica.SetMode(ReplicaMode::kAnswer);
       case SoakAction::kEndReplica:
         if (random() % 2 == 0) {
@@ -178,6 +175,21 @@
     }
   }
 
+  // A second copy, or a notice of leaving or of a pause.
+  static void AddToAnswers(ReplicaStandin& replica, std::mt19937_64& random) {
+    static const std::string kEchoes[] = {"{id}", "feedbeef", ""};
+    static const std::string kNotices[] = {
+        "Server-Leaving: 1\r\n", "Connection: close\r\n",
+        "Retry-After: 2.5\r\n",  "Retry-After: 99999999999999999999\r\n",
+        "Retry-After: -1\r\n",   "Keep-Alive: timeout=0\r\n"};
+    if (random() % 2 == 0) {
+      replica.SetExtraFields(kNotices[random() % std::size(kNotices)]);
+    } else {
+      replica.SetLateCopy({Milliseconds(random() % 500), random() % 2 == 0,
+                           kEchoes[random() % std::size(kEchoes)]});
+    }
+  }
+
   static ReplicaMode DrawMode(std::mt19937_64& random) {
     constexpr ReplicaMode kModes[] = {
         ReplicaMode::kRefuse,   ReplicaMode::kFail,
@@ -226,6 +238,7 @@
   }
 
   void AddDetails(const std::vector<std::string>& faults, std::string& text) {
+    text += "folder of settings and logs: " + m_fleet.KeepFolder() + "\n";
     for (const SoakStep& step : m_plan) {
       text += fmt::format("at {} ms: {} {} ({})\n", step.m_at.count(),
                           SoakActionName(step.m_action), step.m_subject,
