--- a/packages/net/tests/http_server_test.cpp
+++ b/packages/net/tests/http_server_test.cpp
@@ -1,8 +1,7 @@
 #include "net/http_server.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <stdexcept>
 
--- a/packages/peer/tests/peer_link_test.cpp
+++ b/packages/peer/tests/peer_link_test.cpp
@@ -2,7 +2,7 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/asio/read.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 #include <catch2/catch.hpp>
