Start: wait up to 5 s for a listener's address that is taken

An instance did not start (exit code 1) when a listener's address was still taken for a moment, by the process before it that ends or by an outgoing connection with that port. OpenListener tried once. A stop ends the wait: the gateway delivers the signals that are held back at the end of its start rather than in its constructor, so that a pending SIGTERM is seen. The listeners start one after another, up to the first that fails; before, all were started and then the first error was told.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -120,11 +120,15 @@
 
   NetResult<void> Start() {
     SetOutboundAddress(m_workers.Context(), m_settings.m_outbound_address);
-    for (auto start :
-         {m_peer_server.Start(), m_operators.Start(), m_callers.Start()}) {
-      if (!start) {
-        return start;
-      }
+    NetResult<void> started = m_peer_server.Start();
+    if (started) {
+      started = m_operators.Start();
+    }
+    if (started) {
+      started = m_callers.Start();
+    }
+    if (!started) {
+      return started;
     }
     m_control.Start();
     m_entry.Start();
--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -78,20 +78,26 @@
                     }),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_housekeeping(m_context),
-        m_stop_timer(m_context) {
-    UnblockControlSignals();
-  }
+        m_stop_timer(m_context) {}
 
   NetResult<void> Start() {
     m_state.OnChange([this] { OnPublished(); });
-    for (auto start : {m_readiness.Start(), m_operators.Start(),
-                       m_gateway.Start(), m_exchange.Start()}) {
-      if (!start) {
-        return start;
-      }
+    NetResult<void> started = m_readiness.Start();
+    if (started) {
+      started = m_operators.Start();
+    }
+    if (started) {
+      started = m_gateway.Start();
+    }
+    if (started) {
+      started = m_exchange.Start();
+    }
+    if (!started) {
+      return started;
     }
     m_updates.Start();
     WaitForSignal();
+    UnblockControlSignals();
     ScheduleHousekeeping();
     LogEvent(EventId::kProcessStarted, "instance={} domain={} callers={}",
              m_settings.m_id.Text(), m_settings.m_domain.Text(),
--- a/packages/net/include/net/listener.h
+++ b/packages/net/include/net/listener.h
@@ -8,8 +8,9 @@
 namespace jackdawrack {
 
 /// Opens `acceptor`, binds it to `endpoint` and starts to listen. Connections
-/// stay in the listen backlog until they are accepted. The message of an error
-/// contains the address.
+/// stay in the listen backlog until they are accepted. Blocks for at most 5 s
+/// while the address is taken, unless SIGTERM or SIGINT is held back. The
+/// message of an error contains the address.
 NetResult<void> OpenListener(boost::asio::ip::tcp::acceptor& acceptor,
                              const Endpoint& endpoint);
 
