Gateway: wait for the next signal before one is handled

An exception while settings are read again or a stop begins would leave the signals without a handler's wait: the instance would ignore every further SIGTERM until it is killed. By reading; no input was found that throws there, and there is no test of its own.

--- a/packages/daemon/src/gateway_daemon.cpp
+++ b/packages/daemon/src/gateway_daemon.cpp
@@ -238,12 +238,12 @@
       if (error) {
         return;
       }
+      WaitForSignal();
       if (signal == SIGHUP) {
         ReloadSettings();
       } else if (!m_is_stopping) {
         BeginStop();
       }
-      WaitForSignal();
     });
   }
 
