--- a/packages/routing/tests/published_state_test.cpp
+++ b/packages/routing/tests/published_state_test.cpp
@@ -57,6 +57,25 @@
   }
 }
 
+// What was left of weights of millions outweighed later ones for as many
+// requests.
+TEST_CASE("changed weights are in force at once, whatever the earlier ones") {
+  for (const double weight : {1e6, 1e308}) {
+    WeightedRoundRobin round_robin;
+    for (int request = 0; request < 1'000; ++request) {
+      round_robin.Next({{ServiceName("a"), weight}, {ServiceName("b"), 1}});
+    }
+    int first_count = 0;
+    for (int request = 0; request < 100; ++request) {
+      const ServiceName next =
+          round_robin.Next({{ServiceName("a"), 1}, {ServiceName("b"), 1}});
+      first_count += next == ServiceName("a") ? 1 : 0;
+    }
+    REQUIRE(first_count >= 49);
+    REQUIRE(first_count <= 51);
+  }
+}
+
 TEST_CASE(
     "connection shares fit the limit, with the local ones counted twice") {
   for (const std::uint32_t limit : {26U, 31U, 62U, 110U, 430U}) {
